--- a/src/bin/basalttrack-simhost/main.rs
+++ b/src/bin/hollymux-simhost/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use basalttrack::{Control, Event};
+use hollymux::{Control, Event};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -11,7 +11,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("basalttrack-simhost: {e}");
+            eprintln!("hollymux-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! **basalttrack** makes the decisions of a request router for edge caches: which cache serves an
+//! **hollymux** makes the decisions of a request router for edge caches: which cache serves an
 //! object, where a miss is filled from, what is kept, and what is tried next when something fails.
 //!
 //! The library does no I/O and reads no clock. A dispatcher owns one [`Control`], hands it each
@@ -6,7 +6,7 @@
 //! The same events always give the same actions.
 //!
 //! ```
-//! use basalttrack::*;
+//! use hollymux::*;
 //!
 //! let class = Class { aim: 400_000, deadline: 2_500_000, effect: Effect::Safe, ..Class::default() };
 //! let settings = Settings {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,6 +1,6 @@
 //! The decision module through its interface: the mechanism, the rules and what comes back.
 
-use basalttrack::*;
+use hollymux::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,6 +1,6 @@
 //! Many dispatchers to a host, each of which sees a few requests a second: no bench, fixed seeds.
 
-use basalttrack::*;
+use hollymux::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Time = 1_000;
