Answer and follow DNS-based request routing over the same core

Queries go over UDP and TCP through Router::lookup: the module chooses as for any request; the choice counts as in hand until its class's aim has passed and ends as called off, which teaches the module nothing. A filing's id is remembered for an hour at least, with its one target. As a client (follow = ADDRESS) requests go where a lookup says; the member list is asked when the attempt is made, and a filing is looked up and sent once.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration file as JSON, and the control feed's events, which are JSON too.
 
 use crate::interface::*;
+use crate::proto::dns;
 use crate::settings::{settings_from, Pairs};
 use serde::Deserialize;
 use serde_json::Value;
@@ -69,6 +70,36 @@
     pub idle: Time,
 }
 
+/// The file that turns the DNS front on; without it all of it is off.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DnsConfig {
+    /// The zone whose names are requests and boxes.
+    #[serde(default)]
+    pub zone: String,
+    /// Where queries are answered, over UDP and TCP.
+    pub listen: Option<SocketAddr>,
+    /// A server whose answers this router follows instead of deciding itself.
+    pub follow: Option<SocketAddr>,
+    /// The zone as labels.
+    #[serde(skip)]
+    pub name: dns::Name,
+}
+
+impl DnsConfig {
+    /// Reads the text of the file.
+    pub fn read(text: &str) -> Result<DnsConfig, ConfigError> {
+        let wrong = |e: &dyn std::fmt::Display| ConfigError(e.to_string().trim().replace('\n', " "));
+        let mut file: DnsConfig = toml::from_str(text).map_err(|e| wrong(&e.message()))?;
+        file.name =
+            dns::name(&file.zone).ok_or_else(|| wrong(&format!("zone {:?} is no name", file.zone)))?;
+        if file.listen.is_none() && file.follow.is_none() {
+            return Err(wrong(&"neither listen nor follow is given"));
+        }
+        Ok(file)
+    }
+}
+
 /// A line of the member list.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,10 +38,12 @@
 
 pub mod config;
 mod control;
+pub mod follow;
 mod interface;
 pub mod net;
 pub mod proto;
 pub mod router;
+pub mod routing;
 mod settings;
 mod state;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,11 @@
 //! The request router: reads its configuration and serves until it is told to stop.
 
-use hollymux::config::Config;
+use hollymux::config::{Config, DnsConfig};
 use hollymux::net::Driver;
 use std::process::ExitCode;
 
+const USAGE: &str = "usage: hollymux [--dns FILE]   (NODE_CONFIG names the configuration)";
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -15,11 +17,24 @@
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let dns = match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => DnsConfig::default(),
+        ["--help"] => {
+            println!("{USAGE}");
+            return Ok(());
+        }
+        ["--dns", path] => DnsConfig::read(&text(path)?).map_err(|e| format!("configuration {path}: {e}"))?,
+        _ => return Err(USAGE.into()),
+    };
     let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG names no configuration")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("configuration {path}: {e}"))?;
-    let config = Config::read(&text).map_err(|e| format!("configuration {path}: {e}"))?;
-    let mut driver = Driver::new(config)?;
+    let config = Config::read(&text(&path)?).map_err(|e| format!("configuration {path}: {e}"))?;
+    let mut driver = Driver::new(config, dns)?;
     eprintln!("hollymux: listening on {}", driver.listens_at()?);
     driver.run()?;
     Ok(())
 }
+
+fn text(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("configuration {path}: {e}"))
+}
--- /dev/null
+++ b/src/net/dns.rs
@@ -0,0 +1,231 @@
+//! The sockets of the DNS front: queries over UDP and TCP, and the lookups of a follower.
+
+use super::*;
+use crate::follow::Found;
+use crate::interface::RequestId;
+use crate::proto::dns::{self, Answer, Framer, Name, Query, Rcode};
+use crate::router::Hint;
+use crate::routing::{self, Place as At, Wanted};
+use rand_core::{RngCore, SeedableRng};
+use std::net::IpAddr;
+
+/// A query that is not answered is sent again after this long, so many times in all.
+const ASK_AGAIN: Time = 150 * MS;
+const ASKS: u32 = 3;
+/// Queries of a follower that wait for an answer.
+const ASKED_MOST: usize = 4_096;
+/// A connection without a query for this long is closed.
+const IDLE: Time = 4_000 * MS;
+/// Answers may wait on a connection up to this; a client that doesn't read them is closed.
+const OUT_MOST: usize = 256 * 1024;
+
+pub(super) struct DnsConn {
+    pub(super) stream: Stream,
+    framer: Framer,
+    out: Chain,
+    used: Time,
+}
+
+struct Asked {
+    request: RequestId,
+    name: Name,
+    times: u32,
+}
+
+/// The lookups that a follower has under way.
+pub(super) struct Resolver {
+    rng: rand_pcg::Pcg64Mcg,
+    key: Option<Key>,
+    asked: HashMap<u16, Asked>,
+}
+
+impl Resolver {
+    pub(super) fn new(seed: u64) -> Resolver {
+        let rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed ^ 0x646e_7371);
+        Resolver { rng, key: None, asked: HashMap::new() }
+    }
+}
+
+impl Driver {
+    pub(super) fn open_dns(&mut self) -> io::Result<()> {
+        if let Some(listen) = self.dns.listen {
+            let udp = UdpSocket::bind(listen)?;
+            udp.set_nonblocking(true)?;
+            // With port 0 both take the port that UDP was given.
+            let tcp = TcpListener::bind(udp.local_addr()?)?;
+            tcp.set_nonblocking(true)?;
+            eprintln!("hollymux: DNS for {} on {}", self.dns.zone, udp.local_addr()?);
+            self.place(Role::DnsUdp(udp))?;
+            self.place(Role::DnsListener(tcp))?;
+        }
+        if let Some(server) = self.dns.follow {
+            let own: IpAddr = if server.is_ipv4() { [0, 0, 0, 0].into() } else { [0u16; 8].into() };
+            let udp = UdpSocket::bind((own, 0))?;
+            udp.connect(server)?;
+            udp.set_nonblocking(true)?;
+            self.resolver.key = Some(self.place(Role::Resolver(udp))?);
+        }
+        Ok(())
+    }
+
+    pub(super) fn on_dns_udp(&mut self, socket: &mut UdpSocket) -> Fate {
+        let mut buffer = [0; dns::QUERY_MOST];
+        for _ in 0..READS {
+            let Ok((n, peer)) = socket.recv_from(&mut buffer) else { break };
+            if let Some(answer) = self.resolve(&buffer[..n], true) {
+                // What the socket doesn't take now is lost, as any datagram may be.
+                let _sent = socket.send_to(&answer, peer);
+            }
+        }
+        Fate::Keep
+    }
+
+    pub(super) fn on_dns_accept(&mut self, listener: &mut TcpListener) -> Fate {
+        while self.clients < self.config.sockets / 3 {
+            let Ok((socket, _)) = listener.accept() else { break };
+            let (framer, out) = (Framer::default(), self.pool.chain());
+            let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+            let conn = DnsConn { stream: Stream::new(socket, self.now), framer, out, used: self.now };
+            if ready.and_then(|()| self.place(Role::DnsConn(conn))).is_ok() {
+                self.clients += 1;
+            }
+        }
+        Fate::Keep
+    }
+
+    pub(super) fn on_dns_conn(&mut self, key: Key, conn: &mut DnsConn, flags: EventFlags) -> Fate {
+        let mut messages = Vec::new();
+        if flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
+            let mut buffer = [0; dns::QUERY_MOST];
+            match conn.stream.read(&mut buffer) {
+                Ok(Some(0)) | Err(_) => return Fate::Close,
+                Ok(Some(n)) if !conn.framer.feed(&buffer[..n], &mut messages) => return Fate::Close,
+                Ok(_) => {}
+            }
+        }
+        for message in messages {
+            conn.used = self.now;
+            let Some(answer) = self.resolve(&message, false) else { return Fate::Close };
+            let len = (answer.len() as u16).to_be_bytes();
+            let put = conn.out.extend(&len).and_then(|()| conn.out.extend(&answer));
+            if put.is_err() || conn.out.len() > OUT_MOST {
+                return Fate::Close;
+            }
+        }
+        match conn.stream.write(&mut conn.out, self.now) {
+            Ok(all) => {
+                self.wait_for(key, &mut conn.stream, !all);
+                Fate::Keep
+            }
+            Err(_) => Fate::Close,
+        }
+    }
+
+    pub(super) fn dns_round(&mut self, conn: &mut DnsConn) -> Fate {
+        let leaving = self.stopping.is_some_and(|at| self.now >= at + LINGER) && conn.out.is_empty();
+        if leaving || self.now > conn.used + IDLE {
+            Fate::Close
+        } else {
+            Fate::Keep
+        }
+    }
+
+    /// The answer to a query; none if it gets none.
+    fn resolve(&mut self, bytes: &[u8], udp: bool) -> Option<Vec<u8>> {
+        let query = dns::query(bytes)?;
+        let answer = query.wrong.map_or_else(|| self.decide(&query), Answer::code);
+        Some(dns::answer(&query, &answer, udp))
+    }
+
+    fn decide(&mut self, query: &Query) -> Answer {
+        let zone = &self.dns.name;
+        let wanted = match routing::place(&query.name, zone, self.router.classes()) {
+            At::Elsewhere => return Answer::code(Rcode::Refused),
+            At::Nowhere => return routing::nothing(Rcode::NxDomain, zone),
+            At::Apex => return routing::apex(query.kind, zone),
+            At::Between => return routing::nothing(Rcode::NoError, zone),
+            At::Box(uid) => {
+                return match self.router.standing(&uid) {
+                    Some(addr) => routing::standing(query.kind, zone, addr),
+                    None => routing::nothing(Rcode::NxDomain, zone),
+                };
+            }
+            At::Wanted(wanted) => wanted,
+        };
+        if !routing::answers(query.kind) {
+            return routing::nothing(Rcode::NoError, zone);
+        }
+        let found = self.router.lookup(self.now, wanted, &mut self.commands);
+        for command in std::mem::take(&mut self.commands) {
+            self.carry_out(command);
+        }
+        match found {
+            Found::Box(target) => routing::named(query.kind, &self.dns.name, &target),
+            Found::Refused => Answer::code(Rcode::Refused),
+            Found::Failed => Answer::code(Rcode::ServFail),
+        }
+    }
+
+    // ---- following ----
+
+    /// Asks where a request is to go.
+    pub(super) fn look(&mut self, request: RequestId, wanted: &Wanted) {
+        let once = self.router.classes()[usize::from(wanted.class)].1 == crate::interface::Effect::Unsafe;
+        let wanted = Wanted { rid: wanted.rid.filter(|_| once), ..wanted.clone() };
+        let name = routing::name_of(&wanted, &self.dns.name, self.router.classes());
+        let Some(name) = name.filter(|_| self.resolver.asked.len() < ASKED_MOST) else {
+            return self.inbox.push_back(Input::Found(request, Found::Failed));
+        };
+        let mut id = self.resolver.rng.next_u64() as u16;
+        while self.resolver.asked.contains_key(&id) {
+            id = id.wrapping_add(1);
+        }
+        self.resolver.asked.insert(id, Asked { request, name, times: 0 });
+        self.resolve_overdue(id);
+    }
+
+    /// Sends a query, again if it was sent before, and gives it up after the last time.
+    pub(super) fn resolve_overdue(&mut self, id: u16) {
+        let Some(asked) = self.resolver.asked.get_mut(&id) else { return };
+        if asked.times >= ASKS {
+            let request = asked.request;
+            self.resolver.asked.remove(&id);
+            return self.inbox.push_back(Input::Found(request, Found::Failed));
+        }
+        asked.times += 1;
+        let bytes = dns::ask(id, &asked.name);
+        if let Some(Role::Resolver(socket)) = self.resolver.key.and_then(|k| self.role(k)) {
+            // What can't be sent now is sent again later.
+            let _sent = socket.send(&bytes);
+        }
+        self.wheel.set(self.now + ASK_AGAIN, Timer::Resolve(id));
+    }
+
+    pub(super) fn on_resolver(&mut self, socket: &mut UdpSocket) -> Fate {
+        let mut buffer = [0; dns::QUERY_MOST];
+        for _ in 0..READS {
+            let n = match socket.recv(&mut buffer) {
+                Ok(n) => n,
+                // A refused datagram is told here; the query is sent again.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(_) => break,
+            };
+            let Some(id) = buffer[..n].first_chunk::<2>().map(|b| u16::from_be_bytes(*b)) else { continue };
+            let Some(asked) = self.resolver.asked.get(&id) else { continue };
+            let Some((code, pointed)) = dns::read_answer(&buffer[..n], id, &asked.name) else { continue };
+            let request = asked.request;
+            self.resolver.asked.remove(&id);
+            let hint = pointed.and_then(|p| {
+                let uid = String::from_utf8(p.target.first()?.clone()).ok()?;
+                Some(Hint { uid, addr: SocketAddr::from((p.addr?, p.port)), texts: p.texts })
+            });
+            let found = match (code == Rcode::Refused as u16, hint) {
+                (true, _) => Found::Refused,
+                (false, Some(hint)) if code == Rcode::NoError as u16 => Found::Box(hint),
+                _ => Found::Failed,
+            };
+            self.inbox.push_back(Input::Found(request, found));
+        }
+        Fate::Keep
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,15 +2,17 @@
 //! `proto`, what is done about it in `router`.
 
 mod clients;
+mod dns;
 mod feed;
 mod shelfs;
 mod wheel;
 
-use crate::config::Config;
+use crate::config::{Config, DnsConfig};
 use crate::interface::{HostId, Time};
 use crate::proto::chain::{Chain, Pool, BUFFER};
 use crate::router::{AttemptId, Command, Input, Router, Wake};
 use clients::ClientConn;
+use dns::{DnsConn, Resolver};
 use feed::Feed;
 use rustix::event::epoll::{self, EventFlags};
 use rustix::event::Timespec;
@@ -19,7 +21,7 @@
 use shelfs::ShelfConn;
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use wheel::Wheel;
@@ -42,6 +44,7 @@
 enum Timer {
     Core(Wake),
     Dial(Key),
+    Resolve(u16),
     Feed,
     Round,
     Drained,
@@ -54,6 +57,10 @@
     Client(ClientConn),
     Shelf(ShelfConn),
     Feed(Feed),
+    DnsUdp(UdpSocket),
+    DnsListener(TcpListener),
+    DnsConn(DnsConn),
+    Resolver(UdpSocket),
 }
 
 struct Place {
@@ -154,6 +161,8 @@
     shelfs: HashMap<HostId, shelfs::Line>,
     attempts: HashMap<AttemptId, Key>,
     shelf_conns: usize,
+    dns: DnsConfig,
+    resolver: Resolver,
     feed_at: u64,
     feed_key: Option<Key>,
     feed_wait: Time,
@@ -165,10 +174,10 @@
 
 impl Driver {
     /// Binds the listener, registers the signal and takes what the configuration already knows.
-    pub fn new(mut config: Config) -> io::Result<Driver> {
+    pub fn new(mut config: Config, dns: DnsConfig) -> io::Result<Driver> {
         let mut clock = Clock::default();
         let now = clock.now();
-        let router = Router::new(&config).map_err(io::Error::other)?;
+        let router = Router::new(&config, dns.follow.is_some()).map_err(io::Error::other)?;
         let known = std::mem::take(&mut config.known.1);
         // A third of the memory may lie in buffers; the module and the sockets need the rest.
         let pool = Pool::new((config.memory_mb as usize) * (1 << 20) / 3 / BUFFER);
@@ -188,6 +197,8 @@
             shelfs: HashMap::new(),
             attempts: HashMap::new(),
             shelf_conns: 0,
+            resolver: Resolver::new(config.seed),
+            dns,
             feed_at: config.known.0,
             feed_key: None,
             feed_wait: 0,
@@ -204,6 +215,7 @@
         let listener = TcpListener::bind(driver.config.listen)?;
         listener.set_nonblocking(true)?;
         driver.listener = driver.place(Role::Listener(listener))?;
+        driver.open_dns()?;
         driver.wheel.set(now + ROUND, Timer::Round);
         driver.open_feed();
         Ok(driver)
@@ -251,6 +263,10 @@
             Role::Client(c) => self.on_client(key, c, flags),
             Role::Shelf(s) => self.on_shelf(key, s, flags),
             Role::Feed(f) => self.on_feed(f, flags),
+            Role::DnsUdp(s) => self.on_dns_udp(s),
+            Role::DnsListener(l) => self.on_dns_accept(l),
+            Role::DnsConn(c) => self.on_dns_conn(key, c, flags),
+            Role::Resolver(s) => self.on_resolver(s),
         };
         self.put_back(key, role, fate);
         self.settle();
@@ -260,6 +276,7 @@
         match timer {
             Timer::Core(wake) => self.inbox.push_back(Input::Wake(wake)),
             Timer::Dial(key) => self.dial_overdue(key),
+            Timer::Resolve(id) => self.resolve_overdue(id),
             Timer::Feed => self.open_feed(),
             Timer::Round => {
                 self.wheel.set(self.now + ROUND, Timer::Round);
@@ -291,7 +308,8 @@
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send(order) => self.send(order),
-            Command::Quit(host, attempt) => self.quit(host, attempt),
+            Command::Quit(attempt) => self.quit(attempt),
+            Command::Look(request, wanted) => self.look(request, &wanted),
             Command::Reply(client, reply) => self.answer(client, reply),
             Command::Wake(at, wake) => self.wheel.set(at, Timer::Core(wake)),
             Command::Probe(host, addr) => self.probe(host, addr),
@@ -322,7 +340,9 @@
                 Role::Client(c) => self.client_round(c),
                 Role::Shelf(s) => self.shelf_round(s),
                 Role::Feed(f) => self.feed_round(f),
-                Role::Listener(_) | Role::Signal(_) => Fate::Keep,
+                Role::DnsConn(c) => self.dns_round(c),
+                Role::Listener(_) | Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => Fate::Keep,
+                Role::Signal(_) => Fate::Keep,
             };
             self.put_back(key, role, fate);
         }
@@ -391,7 +411,9 @@
             }
             Role::Shelf(s) => self.shelf_closed(key, s),
             Role::Feed(_) => self.feed_closed(),
+            Role::DnsConn(_) => self.clients -= 1,
             Role::Listener(_) | Role::Signal(_) => {}
+            Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => {}
         }
     }
 
@@ -412,5 +434,8 @@
         Role::Client(c) => c.stream.socket.as_fd(),
         Role::Shelf(s) => s.stream.socket.as_fd(),
         Role::Feed(f) => f.stream.socket.as_fd(),
+        Role::DnsUdp(s) | Role::Resolver(s) => s.as_fd(),
+        Role::DnsListener(l) => l.as_fd(),
+        Role::DnsConn(c) => c.stream.socket.as_fd(),
     }
 }
--- a/src/net/shelfs.rs
+++ b/src/net/shelfs.rs
@@ -76,7 +76,7 @@
     fn try_send(&mut self, order: Order) -> Option<()> {
         let bytes = shelf::ask(&self.pool, &order).ok()?;
         let rid = order.ask.rid.clone();
-        let key = self.connection(order.host, order.addr, &rid)?;
+        let key = self.connection(order.target.host, order.target.addr, &rid)?;
         let Some(Role::Shelf(conn)) = self.role(key) else { return None };
         conn.open.insert(rid, Sent::Attempt(order.attempt, false));
         let now = self.now;
@@ -156,7 +156,7 @@
         }
     }
 
-    pub(super) fn quit(&mut self, _host: HostId, attempt: AttemptId) {
+    pub(super) fn quit(&mut self, attempt: AttemptId) {
         let Some(key) = self.attempts.remove(&attempt) else { return };
         let pool = self.pool.clone();
         let now = self.now;
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod chain;
 pub mod control_feed;
+pub mod dns;
 pub mod front;
 pub mod resp;
 pub mod shelf;
--- a/src/proto/shelf.rs
+++ b/src/proto/shelf.rs
@@ -70,19 +70,8 @@
     put("thing", &ask.object.0);
     put("nth", ask.part.to_string().as_bytes());
     put("max", (order.timeout / 1_000).max(1).to_string().as_bytes());
-    if let Some(source) = &order.source {
-        put("parent", source.as_bytes());
-    }
-    if order.fill.keep > 0 {
-        put("shelf", order.fill.keep.to_string().as_bytes());
-    }
-    if let Some(age) = order.fill.max_age {
-        put("accept", (age / 1_000).max(1).to_string().as_bytes());
-    }
-    let hints = [(order.fill.join, "coalesce"), (order.fill.renew, "freshen")];
-    let hints: Vec<&str> = hints.iter().filter(|h| h.0).map(|h| h.1).collect();
-    if !hints.is_empty() {
-        put("hints", hints.join("+").as_bytes());
+    for (name, value) in order.target.fields() {
+        put(name, value.as_bytes());
     }
     if let Some(held) = &ask.held {
         put("got", held);
--- a/src/router.rs
+++ b/src/router.rs
@@ -3,15 +3,21 @@
 
 use crate::config::{Config, Member, Told};
 use crate::control::Control;
+use crate::follow::{Follow, Found};
 use crate::interface::*;
+use crate::proto::front::hex16;
 use crate::proto::front::{Ask, Reply};
 use crate::proto::shelf::Said;
+use crate::routing::Wanted;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Requests open at a time; beyond them new ones are refused.
 const OPEN_MOST: usize = 4_096;
+/// Requests that may not be repeated are remembered for this long at least, up to so many.
+const FILING_KEPT: Time = 3_600_000_000;
+const FILINGS: usize = 100_000;
 
 /// Who is owed an answer: a connection and the tag of a request on it. The core only gives it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,30 +37,73 @@
     pub number: u16,
 }
 
+/// A host that was chosen, and what it is told of the fill.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The host.
+    pub host: HostId,
+    /// Its name on the sockets.
+    pub uid: Rc<str>,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The source of a fill by its name on the sockets.
+    pub source: Option<Rc<str>>,
+    /// Fill and keep.
+    pub fill: Fill,
+}
+
+impl Target {
+    /// The fill as fields of a request to a shelf.
+    pub fn fields(&self) -> Vec<(&'static str, String)> {
+        let f = &self.fill;
+        let hints = [(f.join, "coalesce"), (f.renew, "freshen")];
+        let hints: Vec<&str> = hints.iter().filter(|h| h.0).map(|h| h.1).collect();
+        let parent = self.source.as_ref().map(|s| ("parent", s.to_string()));
+        let shelf = (f.keep > 0).then(|| ("shelf", f.keep.to_string()));
+        let accept = f.max_age.map(|a| ("accept", (a / 1_000).max(1).to_string()));
+        let hints = (!hints.is_empty()).then(|| ("hints", hints.join("+")));
+        [parent, shelf, accept, hints].into_iter().flatten().collect()
+    }
+}
+
 /// An attempt as it is to be sent.
 #[derive(Clone, Debug)]
 pub struct Order {
     /// Which attempt it is.
     pub attempt: AttemptId,
     /// Where it goes.
-    pub host: HostId,
-    /// The address of that.
-    pub addr: SocketAddr,
+    pub target: Target,
     /// Its time-out.
     pub timeout: Time,
-    /// The source of a fill by its name on the sockets.
-    pub source: Option<Rc<str>>,
-    /// Fill and keep.
-    pub fill: Fill,
     /// What is asked.
     pub ask: Rc<Ask>,
 }
 
+/// What a DNS answer told a follower: a box by name and address, and the fill as texts.
+#[derive(Debug)]
+pub struct Hint {
+    /// The box's name on the sockets, in lower case.
+    pub uid: String,
+    /// The box's address.
+    pub addr: SocketAddr,
+    /// The fill as `name=value`.
+    pub texts: Vec<String>,
+}
+
+/// Who decides where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mind {
+    /// The decision module.
+    Module,
+    /// Lookups at another router.
+    Follow,
+}
+
 /// What wakes the core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wake {
-    /// A timer of the module.
-    Module(u64),
+    /// A timer of the module or of the follower.
+    Mind(Mind, u64),
     /// An attempt's time-out.
     Attempt(AttemptId),
 }
@@ -83,6 +132,8 @@
     Lost(AttemptId, Lost),
     /// A probe ended; none: nothing came back.
     Probed(HostId, Option<bool>),
+    /// A lookup for a request ended.
+    Found(RequestId, Found<Hint>),
     /// The control feed told something.
     Told(Told),
     /// A timer is due.
@@ -95,11 +146,13 @@
     /// Send an attempt.
     Send(Order),
     /// Give an attempt up.
-    Quit(HostId, AttemptId),
+    Quit(AttemptId),
     /// Give a client its final answer.
     Reply(Client, Reply),
     /// Wake the core at that time.
     Wake(Time, Wake),
+    /// Look up where a request is to go.
+    Look(RequestId, Wanted),
     /// Probe a host.
     Probe(HostId, SocketAddr),
     /// Close all connections to a host: its process is no longer there.
@@ -112,15 +165,46 @@
 
 #[derive(Debug)]
 struct Open {
-    client: Client,
-    ask: Rc<Ask>,
+    mind: Mind,
+    wanted: Wanted,
+    /// Who is owed an answer and what was asked; none: a lookup.
+    from: Option<(Client, Rc<Ask>)>,
     attempts: u16,
 }
 
 #[derive(Debug)]
 struct Out {
+    mind: Mind,
     host: HostId,
     sent: Time,
+    /// Only named to somebody: it is held to be out for a while, and nothing will be heard of it.
+    named: bool,
+}
+
+/// Requests by their id that may not be repeated: where a lookup sent them, or none if they were taken here.
+#[derive(Debug, Default)]
+struct Filings {
+    by_id: HashMap<u64, Option<HostId>>,
+    order: VecDeque<(Time, u64)>,
+}
+
+impl Filings {
+    /// Remembers one; false if there is no room and nothing is old enough to be forgotten.
+    fn add(&mut self, now: Time, rid: u64, host: Option<HostId>) -> bool {
+        while let Some((at, old)) = self.order.front().copied() {
+            if self.by_id.len() < FILINGS && self.order.len() < 2 * FILINGS || now < at + FILING_KEPT {
+                break;
+            }
+            self.order.pop_front();
+            self.by_id.remove(&old);
+        }
+        let room = self.by_id.len() < FILINGS && self.order.len() < 2 * FILINGS;
+        if room {
+            self.by_id.insert(rid, host);
+            self.order.push_back((now, rid));
+        }
+        room
+    }
 }
 
 /// Counters for the operator; the last two must stay 0.
@@ -134,6 +218,8 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
+    /// Lookups answered.
+    pub lookups: u64,
     /// Attempts sent.
     pub attempts: u64,
     /// Commands to something that has ended or may not be sent: never carried out.
@@ -144,30 +230,37 @@
 #[derive(Debug)]
 pub struct Router {
     control: Control,
+    follow: Option<Follow>,
     classes: Vec<(String, Effect)>,
+    settings: Settings,
+    filings: Filings,
+    /// What the lookup that is under way came to.
+    found: Option<Found<Target>>,
     members: HashMap<HostId, (Rc<str>, Member)>,
     open: HashMap<RequestId, Open>,
     by_client: BTreeMap<Client, RequestId>,
     out: BTreeMap<AttemptId, Out>,
     next: RequestId,
-    max_retry_after: Time,
     /// What has been counted so far.
     pub counters: Counters,
 }
 
 impl Router {
-    /// The core for a configuration.
-    pub fn new(config: &Config) -> Result<Router, SettingsError> {
+    /// The core for a configuration; clients' requests are decided here, or followed by lookups.
+    pub fn new(config: &Config, follow: bool) -> Result<Router, SettingsError> {
         let effects = config.settings.classes.iter().map(|c| c.effect);
         Ok(Router {
             control: Control::new(config.settings.clone(), config.seed)?,
             classes: config.names.classes.iter().cloned().zip(effects).collect(),
+            follow: follow.then(|| Follow::new(config.settings.clone())),
+            settings: config.settings.clone(),
+            filings: Filings::default(),
+            found: None,
             members: HashMap::new(),
             open: HashMap::new(),
             by_client: BTreeMap::new(),
             out: BTreeMap::new(),
             next: 1,
-            max_retry_after: config.settings.max_retry_after,
             counters: Counters::default(),
         })
     }
@@ -177,6 +270,63 @@
         self.open.is_empty()
     }
 
+    /// Classes by number, with how far they may be repeated.
+    pub fn classes(&self) -> &[(String, Effect)] {
+        &self.classes
+    }
+
+    /// The address of a box that takes work, by its name in any case.
+    pub fn standing(&self, uid: &[u8]) -> Option<SocketAddr> {
+        let mut named = self.members.values().filter(|m| m.0.as_bytes().eq_ignore_ascii_case(uid));
+        named.find(|m| takes_work(m))?.1.addr
+    }
+
+    /// Chooses a box for somebody who will go there himself. It counts as sent until its aim has passed; what
+    /// becomes of it is not known and teaches nothing.
+    pub fn lookup(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
+        self.counters.lookups += 1;
+        let once = wanted.rid;
+        if let Some(known) = once.and_then(|rid| self.filings.by_id.get(&rid)) {
+            // One target for good: named again while it takes work, else nobody is.
+            let host = known.filter(|h| self.members.get(h).is_some_and(takes_work));
+            return host.and_then(|h| self.filing_target(h)).map_or(Found::Refused, Found::Box);
+        }
+        let class = wanted.class;
+        let deadline = now + self.settings.classes[usize::from(class)].deadline;
+        let id = self.begin(now, deadline, Mind::Module, wanted, None, commands);
+        let found = self.found.take();
+        if self.open.remove(&id).is_some() || matches!(found, Some(Found::Box(_))) {
+            self.drive(now, Mind::Module, Event::Withdrawn { request: id }, commands);
+        }
+        let found = found.unwrap_or(Found::Failed);
+        if let (Some(rid), Found::Box(target)) = (once, &found) {
+            if !self.filings.add(now, rid, Some(target.host)) {
+                return Found::Refused;
+            }
+        }
+        found
+    }
+
+    /// The target of a request that may not be repeated: what it is and that it runs at the origin.
+    fn filing_target(&self, host: HostId) -> Option<Target> {
+        let kind = self.settings.origin_kind;
+        let origin = self.members.iter().filter(|(_, m)| takes_work(m) && Some(m.1.entry.kind) == kind);
+        let source = origin.map(|(id, _)| *id).min();
+        let fill = Fill { source, keep: 0, max_age: None, join: self.settings.joins, renew: false };
+        self.target(host, fill)
+    }
+
+    /// A host and a source as they are on the sockets; none if one of them takes no work.
+    fn target(&self, host: HostId, fill: Fill) -> Option<Target> {
+        let ready = |id| self.members.get(&id).filter(|m| takes_work(m));
+        let (uid, member) = ready(host)?;
+        let source = match fill.source {
+            Some(source) => Some(ready(source)?.0.clone()),
+            None => None,
+        };
+        Some(Target { host, uid: uid.clone(), addr: member.addr?, source, fill })
+    }
+
     /// Takes one input and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, input: Input, commands: &mut Vec<Command>) {
         match input {
@@ -196,15 +346,18 @@
                     Some(false) => Status::Error,
                     None => Status::Timeout,
                 };
-                self.drive(now, Event::Probed { host, status }, commands);
+                self.drive(now, Mind::Module, Event::Probed { host, status }, commands);
             }
             Input::Told(told) => self.on_told(now, told, commands),
-            Input::Wake(Wake::Module(token)) => self.drive(now, Event::Timer { token }, commands),
+            Input::Wake(Wake::Mind(mind, token)) => self.drive(now, mind, Event::Timer { token }, commands),
+            Input::Found(request, found) => self.on_found(now, request, found, commands),
             Input::Wake(Wake::Attempt(attempt)) => {
-                if let Some(out) = self.out.get(&attempt) {
-                    commands.push(Command::Quit(out.host, attempt));
-                    self.end(now, attempt, Status::Timeout, commands);
+                let named = self.out.get(&attempt).map(|o| o.named);
+                if named == Some(false) {
+                    commands.push(Command::Quit(attempt));
                 }
+                let status = if named == Some(true) { Status::Cancelled } else { Status::Timeout };
+                self.end(now, attempt, status, commands);
             }
         }
     }
@@ -216,30 +369,52 @@
             self.counters.failed += 1;
             return commands.push(Command::Reply(client, Reply::Failed));
         };
-        if self.open.len() >= OPEN_MOST {
+        let wanted =
+            Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid: hex16(&ask.rid) };
+        let once = wanted.rid.filter(|_| self.classes[usize::from(class)].1 == Effect::Unsafe);
+        if once.is_some_and(|rid| self.filings.by_id.contains_key(&rid)) {
+            // It was taken before, or somebody was told where to go with it: it may have run.
+            self.counters.failed += 1;
+            return commands.push(Command::Reply(client, Reply::Failed));
+        }
+        let room = self.open.len() < OPEN_MOST && once.is_none_or(|rid| self.filings.add(now, rid, None));
+        if !room {
             self.counters.refused += 1;
-            return commands.push(Command::Reply(client, Reply::Refused(self.max_retry_after / 1_000)));
+            let wait = self.settings.max_retry_after / 1_000;
+            return commands.push(Command::Reply(client, Reply::Refused(wait)));
         }
+        let mind = if self.follow.is_some() { Mind::Follow } else { Mind::Module };
+        let deadline = now + ask.budget * 1_000;
+        self.begin(now, deadline, mind, wanted, Some((client, Rc::new(ask))), commands);
+    }
+
+    /// Opens a request.
+    fn begin(
+        &mut self,
+        now: Time,
+        deadline: Time,
+        mind: Mind,
+        wanted: Wanted,
+        from: Option<(Client, Rc<Ask>)>,
+        commands: &mut Vec<Command>,
+    ) -> RequestId {
         let id = self.next;
         self.next = self.next.wrapping_add(1).max(1);
-        let request = Request {
-            id,
-            class,
-            object: ask.object.1,
-            part: ask.part,
-            group: ask.group,
-            deadline: now + ask.budget * 1_000,
-            ..Request::default()
-        };
-        self.by_client.insert(client, id);
-        self.open.insert(id, Open { client, ask: Rc::new(ask), attempts: 0 });
-        self.drive(now, Event::Request(request), commands);
+        let Wanted { class, object, part, group, .. } = wanted;
+        let request = Request { id, class, object, part, group, deadline, ..Request::default() };
+        if let Some((client, _)) = &from {
+            self.by_client.insert(*client, id);
+        }
+        self.open.insert(id, Open { mind, wanted, from, attempts: 0 });
+        self.drive(now, mind, Event::Request(request), commands);
+        id
     }
 
     fn withdraw(&mut self, now: Time, client: Client, commands: &mut Vec<Command>) {
         if let Some(request) = self.by_client.remove(&client) {
-            self.open.remove(&request);
-            self.drive(now, Event::Withdrawn { request }, commands);
+            if let Some(open) = self.open.remove(&request) {
+                self.drive(now, open.mind, Event::Withdrawn { request }, commands);
+            }
         }
     }
 
@@ -251,13 +426,22 @@
             debug_assert!(false, "a final answer after the end of request {request}");
             return;
         };
-        self.by_client.remove(&open.client);
+        let Some((client, _)) = open.from else {
+            let refused = matches!(reply, Reply::Refused(_));
+            self.found = Some(if refused { Found::Refused } else { Found::Failed });
+            return;
+        };
+        self.by_client.remove(&client);
+        if let (Some(rid), Reply::Refused(_)) = (open.wanted.rid, &reply) {
+            // Refused: it never ran, and may be asked for again.
+            self.filings.by_id.remove(&rid);
+        }
         *match reply {
             Reply::Good(..) | Reply::Unchanged(_) => &mut self.counters.served,
             Reply::Refused(_) => &mut self.counters.refused,
             Reply::Failed => &mut self.counters.failed,
         } += 1;
-        commands.push(Command::Reply(open.client, reply));
+        commands.push(Command::Reply(client, reply));
     }
 
     fn on_said(&mut self, now: Time, attempt: AttemptId, said: Said, commands: &mut Vec<Command>) {
@@ -286,11 +470,48 @@
 
     /// An attempt has ended; later news of it is no news.
     fn end(&mut self, now: Time, attempt: AttemptId, status: Status, commands: &mut Vec<Command>) {
-        if let Some(outcome) = self.outcome(now, attempt, status) {
-            self.drive(now, outcome, commands);
+        let mind = self.out.get(&attempt).map(|o| o.mind);
+        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status)) {
+            self.drive(now, mind, outcome, commands);
         }
     }
 
+    /// The member list is asked right before sending: an answer that names what takes no work, or stands
+    /// elsewhere by now, is no answer.
+    fn on_found(&mut self, now: Time, id: RequestId, found: Found<Hint>, commands: &mut Vec<Command>) {
+        let found = match found {
+            Found::Box(hint) => self.heed(&hint).map_or(Found::Failed, Found::Box),
+            Found::Refused => Found::Refused,
+            Found::Failed => Found::Failed,
+        };
+        let Some(follow) = &mut self.follow else { return };
+        let mut actions = Vec::new();
+        follow.found(now, id, found, &mut actions);
+        self.carry(now, Mind::Follow, actions, commands);
+    }
+
+    fn heed(&self, hint: &Hint) -> Option<(HostId, Fill)> {
+        let by_name = |uid: &str| {
+            let mut members = self.members.iter().filter(|(_, m)| m.0.eq_ignore_ascii_case(uid));
+            members.find(|(_, m)| takes_work(m))
+        };
+        let (host, _) = by_name(&hint.uid).filter(|(_, m)| m.1.addr == Some(hint.addr))?;
+        let mut fill = Fill { source: None, keep: 0, max_age: None, join: false, renew: false };
+        for (name, value) in hint.texts.iter().filter_map(|t| t.split_once('=')) {
+            match name {
+                "parent" => fill.source = Some(*by_name(value)?.0),
+                "shelf" => fill.keep = value.parse().ok().filter(|k| *k <= 3)?,
+                "accept" => fill.max_age = Some(value.parse::<Time>().ok()?.checked_mul(1_000)?),
+                "hints" => {
+                    fill.join = self.settings.joins && value.split('+').any(|h| h == "coalesce");
+                    fill.renew = value.split('+').any(|h| h == "freshen");
+                }
+                _ => {}
+            }
+        }
+        Some((*host, fill))
+    }
+
     fn outcome(&mut self, now: Time, attempt: AttemptId, status: Status) -> Option<Event> {
         let out = self.out.remove(&attempt)?;
         Some(Event::Outcome(Outcome {
@@ -308,7 +529,10 @@
         match told {
             Told::Purge { object, group, at } => {
                 let purge = Purge { since: now.saturating_sub(at), object, group };
-                self.drive(now, Event::Purged(purge), commands);
+                if self.follow.is_some() {
+                    self.drive(now, Mind::Follow, Event::Purged(purge.clone()), commands);
+                }
+                self.drive(now, Mind::Module, Event::Purged(purge), commands);
             }
             Told::Members { all, lines } => {
                 if all {
@@ -340,34 +564,46 @@
                     self.members.insert(id, (Rc::from(line.uid.as_str()), line));
                 }
                 let kind = if all { ListKind::Full } else { ListKind::Delta };
-                self.drive(now, Event::Hosts { kind, entries }, commands);
+                self.drive(now, Mind::Module, Event::Hosts { kind, entries }, commands);
                 let gone = |m: &(Rc<str>, Member)| m.1.entry.state == HostState::Gone;
                 self.members.retain(|_, m| !gone(m));
             }
         }
     }
 
-    /// Hands an event to the module and carries its actions out; their immediate ends are events again.
-    fn drive(&mut self, now: Time, event: Event, commands: &mut Vec<Command>) {
-        let mut events = VecDeque::from([event]);
+    /// Hands an event to whoever decides and carries the actions out.
+    fn drive(&mut self, now: Time, mind: Mind, event: Event, commands: &mut Vec<Command>) {
         let mut actions = Vec::new();
-        while let Some(event) = events.pop_front() {
-            self.control.handle(now, event, &mut actions);
-            for action in actions.drain(..) {
-                events.extend(self.act(now, action, commands));
+        match (mind, &mut self.follow) {
+            (Mind::Follow, Some(follow)) => follow.handle(now, event, &mut actions),
+            _ => self.control.handle(now, event, &mut actions),
+        }
+        self.carry(now, mind, actions, commands);
+    }
+
+    /// Carries actions out, in order; their immediate ends are events again.
+    fn carry(&mut self, now: Time, mind: Mind, actions: Vec<Action>, commands: &mut Vec<Command>) {
+        let ends: Vec<Event> = actions.into_iter().filter_map(|a| self.act(now, mind, a, commands)).collect();
+        ends.into_iter().for_each(|event| self.drive(now, mind, event, commands));
+        let wanted = self.follow.as_mut().map(|f| std::mem::take(&mut f.wanted)).unwrap_or_default();
+        for id in wanted {
+            if let Some(open) = self.open.get(&id) {
+                commands.push(Command::Look(id, open.wanted.clone()));
             }
         }
     }
 
-    fn act(&mut self, now: Time, action: Action, commands: &mut Vec<Command>) -> Option<Event> {
+    fn act(&mut self, now: Time, mind: Mind, action: Action, commands: &mut Vec<Command>) -> Option<Event> {
         match action {
             Action::Attempt { request, host, timeout, fill } => {
                 return self.attempt(now, request, host, timeout, fill, commands);
             }
             Action::Cancel { request, attempt } => {
                 let attempt = AttemptId { request, number: attempt };
-                let host = self.out.get(&attempt)?.host;
-                commands.push(Command::Quit(host, attempt));
+                if self.out.get(&attempt)?.named {
+                    return None;
+                }
+                commands.push(Command::Quit(attempt));
                 return self.outcome(now, attempt, Status::Cancelled);
             }
             Action::Refuse { request, retry_after } => {
@@ -375,7 +611,7 @@
             }
             Action::Fail { request } => self.reply(request, Reply::Failed, commands),
             Action::Timer { after, token } => {
-                commands.push(Command::Wake(now + after, Wake::Module(token)));
+                commands.push(Command::Wake(now + after, Wake::Mind(mind, token)));
             }
             Action::Probe { host } => {
                 let addr = self.members.get(&host).and_then(|m| m.1.addr)?;
@@ -406,19 +642,30 @@
         };
         let attempt = AttemptId { request, number: open.attempts };
         open.attempts += 1;
-        self.counters.attempts += 1;
-        self.out.insert(attempt, Out { host, sent: now });
-        let ready = |id| self.members.get(&id).filter(|m| m.1.entry.state == HostState::Ready);
-        let source = fill.source.map(ready);
-        let addr = ready(host).and_then(|m| m.1.addr);
-        let (Some(addr), false) = (addr, matches!(source, Some(None))) else {
-            // Names what takes no work: it can't have run.
+        let (mind, class) = (open.mind, usize::from(open.wanted.class));
+        let ask = open.from.as_ref().map(|f| f.1.clone());
+        self.out.insert(attempt, Out { mind, host, sent: now, named: ask.is_none() });
+        let Some(target) = self.target(host, fill) else {
+            // It names what takes no work: it can't have run.
             return self.outcome(now, attempt, Status::Moot);
         };
-        let source = source.flatten().map(|m| m.0.clone());
-        let ask = open.ask.clone();
-        commands.push(Command::Wake(now + timeout, Wake::Attempt(attempt)));
-        commands.push(Command::Send(Order { attempt, host, addr, timeout, source, fill, ask }));
+        match ask {
+            Some(ask) => {
+                self.counters.attempts += 1;
+                commands.push(Command::Wake(now + timeout, Wake::Attempt(attempt)));
+                commands.push(Command::Send(Order { attempt, target, timeout, ask }));
+            }
+            None => {
+                self.open.remove(&request);
+                let aim = self.settings.classes[class].aim;
+                commands.push(Command::Wake(now + aim, Wake::Attempt(attempt)));
+                self.found = Some(Found::Box(target));
+            }
+        }
         None
     }
 }
+
+fn takes_work(member: &(Rc<str>, Member)) -> bool {
+    member.1.entry.state == HostState::Ready
+}
