Test both fronts over sockets against stand-ins written here

tests/platform.rs and tests/dns.rs start the program and speak to it as clients, shelfs, the control feed, DNS clients and a DNS server would; what runs is counted at the shelfs. Seen on the way: an AAAA question beside one for A made a second decision and counted as load twice; request names now have A and SRV only, TXT comes with SRV (routing::answers).

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -138,9 +138,10 @@
     }
 }
 
-/// Whether a request's name has records of that type at all: no decision is made for others.
+/// Whether a request's name is answered for that type: no decision is made, and no load counted, for others,
+/// such as the AAAA question that many clients put beside the one for A.
 pub fn answers(kind: u16) -> bool {
-    matches!(kind, dns::A | dns::AAAA | dns::SRV | dns::TXT | dns::ANY)
+    matches!(kind, dns::A | dns::SRV | dns::ANY)
 }
 
 /// Names the box that was chosen. What the fill is to be goes with it as text.
@@ -152,14 +153,14 @@
     }
     let srv = Record { owner: None, kind: dns::SRV, data: dns::srv(target.addr.port(), &owner) };
     let texts: Vec<String> = target.fields().iter().map(|(name, value)| format!("{name}={value}")).collect();
-    let text = || Record { owner: None, kind: dns::TXT, data: dns::txt(&texts) };
     let mut additional = vec![address(Some(owner), target.addr)];
     match kind {
         dns::SRV | dns::ANY => {
-            additional.extend((!texts.is_empty()).then(text));
+            if !texts.is_empty() {
+                additional.push(Record { owner: None, kind: dns::TXT, data: dns::txt(&texts) });
+            }
             some(vec![srv], additional)
         }
-        dns::TXT if !texts.is_empty() => some(vec![text()], Vec::new()),
         _ => {
             let record = Record { owner: None, ..additional.remove(0) };
             if record.kind == kind {
--- /dev/null
+++ b/tests/dns.rs
@@ -0,0 +1,500 @@
+//! The DNS front: queries answered over UDP and TCP, and answers followed, against stand-ins on loopback. What
+//! runs is counted at the shelfs.
+
+mod common;
+
+use common::*;
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const ZONE: &str = "route.example";
+const DOCS: &str = "g17.p3.7f3a9c21e0b4d655.docs.route.example";
+const FILING: &str = "r9b1f03aa5c7e2d41.g17.p0.7f3a9c21e0b4d655.cert-filing.route.example";
+const A: u16 = 1;
+const SOA: u16 = 6;
+const TXT: u16 = 16;
+const AAAA: u16 = 28;
+const SRV: u16 = 33;
+
+fn put_name(out: &mut Vec<u8>, name: &str) {
+    for label in name.split('.').filter(|l| !l.is_empty()) {
+        out.push(label.len() as u8);
+        out.extend(label.bytes());
+    }
+    out.push(0);
+}
+
+/// A query with these flags; `edns`: the payload size offered.
+fn query(id: u16, flags: u16, name: &str, kind: u16, edns: Option<u16>) -> Vec<u8> {
+    let mut out = Vec::new();
+    for field in [id, flags, 1, 0, 0, u16::from(edns.is_some())] {
+        out.extend(field.to_be_bytes());
+    }
+    put_name(&mut out, name);
+    out.extend([kind.to_be_bytes(), [0, 1]].concat());
+    if let Some(size) = edns {
+        out.extend([0, 0, 41]);
+        out.extend([size.to_be_bytes(), [0, 0], [0, 0], [0, 0]].concat());
+    }
+    out
+}
+
+fn u16_at(b: &[u8], at: usize) -> u16 {
+    u16::from_be_bytes([b[at], b[at + 1]])
+}
+
+fn read_name(b: &[u8], at: &mut usize) -> String {
+    let (mut name, mut here, mut end) = (String::new(), *at, None);
+    while b[here] != 0 {
+        if b[here] >= 192 {
+            end = end.or(Some(here + 2));
+            here = usize::from(u16_at(b, here) & 0x3fff);
+            continue;
+        }
+        let n = usize::from(b[here]);
+        write!(name, "{}.", String::from_utf8_lossy(&b[here + 1..here + 1 + n])).unwrap();
+        here += n + 1;
+    }
+    *at = end.unwrap_or(here + 1);
+    name
+}
+
+/// An answer in words: code, mark of a cut, and each record behind the letter of its section.
+fn words(b: &[u8]) -> Vec<String> {
+    let codes = ["NOERROR", "FORMERR", "SERVFAIL", "NXDOMAIN", "NOTIMP", "REFUSED"];
+    let flags = u16_at(b, 2);
+    assert!(flags & 0x8000 != 0, "not an answer");
+    let mut out = vec![codes[usize::from(flags & 15)].to_string()];
+    out.extend((flags & 0x200 != 0).then(|| "cut".to_string()));
+    let mut at = 12;
+    for _ in 0..u16_at(b, 4) {
+        read_name(b, &mut at);
+        at += 4;
+    }
+    for (i, section) in ["an", "ns", "ar"].into_iter().enumerate() {
+        for _ in 0..u16_at(b, 6 + 2 * i) {
+            let owner = read_name(b, &mut at);
+            let (kind, class, ttl, len) =
+                (u16_at(b, at), u16_at(b, at + 2), u16_at(b, at + 6), usize::from(u16_at(b, at + 8)));
+            at += 10;
+            let data = &b[at..at + len];
+            let text = match kind {
+                A => format!("A {}", data.iter().map(u8::to_string).collect::<Vec<_>>().join(".")),
+                SOA => format!("SOA {}", read_name(b, &mut at.clone())),
+                SRV => format!("SRV {} {}", u16_at(data, 4), read_name(b, &mut (at + 6))),
+                TXT => {
+                    format!("TXT {}", String::from_utf8_lossy(data).replace(|c: char| c.is_control(), "|"))
+                }
+                41 => format!("OPT {class} {}", u16_at(b, at - 6) >> 8),
+                other => format!("type {other}"),
+            };
+            assert!(kind == 41 || ttl == 0, "an answer that may be kept");
+            out.push(format!("{section} {owner} {text}"));
+            at += len;
+        }
+    }
+    assert_eq!(at, b.len());
+    out
+}
+
+fn exchange(to: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    socket.send_to(bytes, to).unwrap();
+    let mut buffer = [0; 4096];
+    let n = socket.recv(&mut buffer).unwrap();
+    assert_eq!(buffer[..2], bytes[..2], "the id is repeated");
+    buffer[..n].to_vec()
+}
+
+fn framed(message: Vec<u8>) -> Vec<u8> {
+    [&(message.len() as u16).to_be_bytes()[..], &message].concat()
+}
+
+fn read_framed(tcp: &mut TcpStream) -> Vec<u8> {
+    let mut len = [0; 2];
+    tcp.read_exact(&mut len).unwrap();
+    let mut message = vec![0; usize::from(u16::from_be_bytes(len))];
+    tcp.read_exact(&mut message).unwrap();
+    message
+}
+
+fn ask(to: SocketAddr, name: &str, kind: u16) -> Vec<String> {
+    words(&exchange(to, &query(7, 0, name, kind, None)))
+}
+
+/// The port that an SRV answer names; none if nothing is named.
+fn port(answer: &[String]) -> Option<u16> {
+    let srv = answer.iter().find(|l| l.starts_with("an ") && l.contains(" SRV "))?;
+    srv.split(' ').nth(3)?.parse().ok()
+}
+
+/// An address at which nobody listens: a hub that has failed.
+fn dead() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+struct Bed {
+    feed: Feed,
+    shelfs: Vec<Shelf>,
+    node: Node,
+    dns: SocketAddr,
+}
+
+fn served(zone: &str) -> Bed {
+    served_by(zone, ["s-a", "s-b"])
+}
+
+fn served_by(zone: &str, uids: [&str; 2]) -> Bed {
+    let feed = Feed::start();
+    let shelfs: Vec<Shelf> = (0..3).map(|_| Shelf::start(Does::Data(b"bytes".to_vec()))).collect();
+    feed.members(true, &lines(&shelfs, uids));
+    let node = Node::with_dns(&feed, &format!("listen = '127.0.0.1:0'\nzone = '{zone}'\n"));
+    let dns = node.dns.unwrap();
+    let name = DOCS.replace(ZONE, zone);
+    until("the list", || (ask(dns, &name, A)[0] == "NOERROR").then_some(()));
+    Bed { feed, shelfs, node, dns }
+}
+
+fn lines(shelfs: &[Shelf], uids: [&str; 2]) -> Vec<String> {
+    let of = |i: usize, uid, model| line(uid, shelfs[i].addr, model, "ready");
+    vec![
+        of(0, uids[0], "std"),
+        of(1, uids[1], "std"),
+        of(2, "s-o", "origin"),
+        line("s-h", dead(), "parent", "ready"),
+    ]
+}
+
+#[test]
+fn answers_by_the_standard() {
+    let bed = served(ZONE);
+    let mut said = String::new();
+    let mut note = |what: &str, answer: Vec<String>| {
+        let mut text =
+            format!("{what}: {}\n", answer.join("; ")).replace("s-a.", "BOX.").replace("s-b.", "BOX.");
+        for s in &bed.shelfs {
+            text = text.replace(&s.addr.port().to_string(), "PORT");
+        }
+        said.push_str(&text);
+    };
+    let of = |name: &str, kind| ask(bed.dns, name, kind);
+    note("srv", of(DOCS, SRV));
+    note("any case", of(&DOCS.to_uppercase(), A));
+    note("text alone", of(DOCS, TXT));
+    note("filing", of(FILING, SRV));
+    note("no such type", of(DOCS, AAAA));
+    note("other type", of(DOCS, 15));
+    note("apex", of(ZONE, SOA));
+    note("between", of("docs.route.example", A));
+    note("a filing without its id", of("g17.p0.7f3a9c21e0b4d655.cert-filing.route.example", A));
+    note("an id where none belongs", of(&format!("r9b1f03aa5c7e2d41.{DOCS}"), A));
+    note("unknown class", of("g17.p3.7f3a9c21e0b4d655.songs.route.example", A));
+    note("bad group", of("g256.p3.7f3a9c21e0b4d655.docs.route.example", A));
+    note("box", of("s-a.box.route.example", A));
+    note("no such box", of("s-z.box.route.example", A));
+    note("elsewhere", of("www.example.org", A));
+    note("transfer", of(ZONE, 252));
+    let raw = |bytes: &[u8]| words(&exchange(bed.dns, bytes));
+    note("opcode", raw(&query(7, 0x2000, DOCS, A, None)));
+    let whole = query(7, 0, DOCS, A, None);
+    note("half a question", raw(&whole[..30]));
+    note("trailing bytes", raw(&[&whole[..], b"x"].concat()));
+    note("two questions", raw(&[&whole[..4], &[0, 2], &whole[6..]].concat()));
+    note("pointer to itself", raw(&[&whole[..12], &[0xc0, 12, 0, 1, 0, 1]].concat()));
+    note("edns", raw(&query(7, 0, ZONE, 15, Some(4096))));
+    let mut version = query(7, 0, DOCS, A, Some(4096));
+    let at = version.len() - 5;
+    version[at] = 1;
+    note("edns version", raw(&version));
+    insta::assert_snapshot!(said);
+}
+
+/// Guards against two queries in one segment, or one in many, and against lengths that no query has.
+#[test]
+fn queries_over_tcp_come_in_any_pieces() {
+    let bed = served(ZONE);
+    let mut tcp = TcpStream::connect(bed.dns).unwrap();
+    tcp.set_read_timeout(Some(LONG)).unwrap();
+    let two = [framed(query(1, 0, DOCS, SRV, None)), framed(query(2, 0, ZONE, SOA, None))].concat();
+    for piece in two.chunks(7) {
+        tcp.write_all(piece).unwrap();
+        tcp.flush().unwrap();
+    }
+    for id in [1, 2] {
+        let answer = read_framed(&mut tcp);
+        assert_eq!((u16_at(&answer, 0), words(&answer)[0].as_str()), (id, "NOERROR"));
+    }
+    tcp.write_all(&[0xff, 0xff, 0, 0]).unwrap();
+    assert_eq!(tcp.read(&mut [0; 2]).unwrap_or(0), 0, "a length over the bound ends the connection");
+}
+
+/// Guards against datagrams larger than the client takes.
+#[test]
+fn what_does_not_fit_is_shortened_then_cut() {
+    let label = "z".repeat(60);
+    let zone = format!("{label}.{label}.example");
+    let bed = served(&zone);
+    let name = DOCS.replace(ZONE, &zone);
+    let sized = |edns| exchange(bed.dns, &query(7, 0, &name, SRV, edns));
+    let (plain, large) = (sized(None), sized(Some(1232)));
+    assert!(
+        plain.len() <= 512 && large.len() > 512 && large.len() <= 1232,
+        "{} {}",
+        plain.len(),
+        large.len()
+    );
+    let marks = |b: &[u8]| (words(b).iter().any(|w| w == "cut"), port(&words(b)).is_some());
+    assert_eq!((marks(&plain), marks(&large)), ((false, true), (false, true)));
+    let long = format!("{label}.{label}.{}.example", "y".repeat(50));
+    let bed = served_by(&long, ["a", "b"].map(|first| first.repeat(60)).each_ref().map(String::as_str));
+    let name = FILING.replace(ZONE, &long);
+    let cut = exchange(bed.dns, &query(7, 0, &name, SRV, None));
+    assert!(cut.len() <= 512);
+    assert_eq!(marks(&cut), (true, false));
+}
+
+/// Guards against an answer that names what drains or is gone, and against a second target for a filing.
+#[test]
+fn what_drains_is_never_named_again() {
+    let bed = served(ZONE);
+    let first = port(&ask(bed.dns, FILING, SRV)).unwrap();
+    for _ in 0..5 {
+        assert_eq!(port(&ask(bed.dns, FILING, SRV)), Some(first), "one target for good");
+    }
+    let (at, uid) = if first == bed.shelfs[0].addr.port() { (0, "s-a") } else { (1, "s-b") };
+    bed.feed.members(false, &[line(uid, bed.shelfs[at].addr, "std", "draining")]);
+    until("the drain", || (ask(bed.dns, &format!("{uid}.box.{ZONE}"), A)[0] == "NXDOMAIN").then_some(()));
+    let other = Some(bed.shelfs[1 - at].addr.port());
+    let mut named = 0;
+    for n in 0..40 {
+        let name = format!("g17.p{n}.7f3a9c21e0b4d655.docs.{ZONE}");
+        let answer = ask(bed.dns, &name, SRV);
+        // The one that is left may be full for a while: lookups are load.
+        assert!(port(&answer) == other || answer == ["REFUSED"], "{answer:?}");
+        named += usize::from(port(&answer) == other);
+    }
+    assert!(named > 0, "the one box that is left is never named");
+    assert_eq!(ask(bed.dns, FILING, SRV), ["REFUSED"], "its one target takes no work");
+    // Who was told where to go with it may have sent it: it is not taken by the other front either.
+    let mut client = Client::connect(bed.node.addr);
+    assert_eq!(client.get(1, "cert-filing", 0x9b1f_03aa_5c7e_2d41, 9), "1 broken");
+    assert!(bed.shelfs.iter().all(|s| s.count() == 0), "a lookup sends nothing");
+}
+
+/// Guards against lookups that count as nothing: many at one moment are more than two boxes can do.
+#[test]
+fn lookups_are_load() {
+    let bed = served(ZONE);
+    let mut tcp = TcpStream::connect(bed.dns).unwrap();
+    tcp.set_read_timeout(Some(LONG)).unwrap();
+    let name = |n| format!("g1.p{n}.7f3a9c21e0b4d655.docs.{ZONE}");
+    let asked: Vec<u8> = (1..=64).flat_map(|n| framed(query(n, 0, &name(n), A, None))).collect();
+    assert!(asked.len() < 4096, "one read takes them all");
+    tcp.write_all(&asked).unwrap();
+    let codes: Vec<String> = (1..=64).map(|_| words(&read_framed(&mut tcp))[0].clone()).collect();
+    let named = codes.iter().filter(|c| *c == "NOERROR").count();
+    assert!((8..60).contains(&named) && codes[63] == "REFUSED", "{codes:?}");
+}
+
+/// Guards against lookups that teach health: nobody hears of what became of them.
+#[test]
+fn lookups_take_no_box_out() {
+    let bed = served(ZONE);
+    let start = Instant::now();
+    let mut named = std::collections::BTreeSet::new();
+    let mut n = 0;
+    while start.elapsed() < Duration::from_millis(2_500) {
+        n += 1;
+        let answer = ask(bed.dns, &format!("g1.p{n}.7f3a9c21e0b4d655.docs.{ZONE}"), SRV);
+        if start.elapsed() > Duration::from_millis(1_500) {
+            named.extend(port(&answer));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(named.len(), 2, "both boxes are still named");
+}
+
+// ---- following ----
+
+/// What a stand-in DNS server answers: a box by name and address, or a code.
+#[derive(Clone)]
+enum Names {
+    Box(&'static str, SocketAddr, &'static str),
+    Code(u16),
+    Silence,
+}
+
+struct Server {
+    addr: SocketAddr,
+    names: Arc<Mutex<Names>>,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
+fn answering(names: Names) -> Server {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (names, asked) = (Arc::new(Mutex::new(names)), Arc::new(Mutex::new(Vec::new())));
+    let server = Server { addr, names: names.clone(), asked: asked.clone() };
+    thread::spawn(move || {
+        let mut buffer = [0; 4096];
+        while let Ok((n, peer)) = socket.recv_from(&mut buffer) {
+            let mut at = 12;
+            asked.lock().unwrap().push(read_name(&buffer[..n], &mut at));
+            let question = &buffer[12..at + 4];
+            let head = |code: u16, records: [u16; 2]| {
+                let fields = [u16_at(&buffer, 0), 0x8400 | code, 1, records[0], 0, records[1]];
+                [fields.map(u16::to_be_bytes).concat(), question.to_vec()].concat()
+            };
+            let answer = match names.lock().unwrap().clone() {
+                Names::Silence => continue,
+                Names::Code(code) => head(code, [0, 0]),
+                Names::Box(uid, to, text) => {
+                    let mut out = head(0, [1, 2]);
+                    let mut target = Vec::new();
+                    put_name(&mut target, &format!("{uid}.box.{ZONE}"));
+                    let mut record = |owner: &[u8], kind: u16, data: &[u8]| {
+                        out.extend(owner);
+                        out.extend([kind, 1, 0, 0, data.len() as u16].map(u16::to_be_bytes).concat());
+                        out.extend(data);
+                    };
+                    let srv = [&[0, 0, 0, 0], &to.port().to_be_bytes()[..], &target].concat();
+                    record(&[0xc0, 12], SRV, &srv);
+                    record(&target, A, &[127, 0, 0, 1]);
+                    record(&[0xc0, 12], TXT, &[&[text.len() as u8], text.as_bytes()].concat());
+                    out
+                }
+            };
+            socket.send_to(&answer, peer).unwrap();
+        }
+    });
+    server
+}
+
+/// A follower of a stand-in server that names the first of three shelfs.
+fn following() -> (Bed, Server, Client) {
+    let feed = Feed::start();
+    let shelfs: Vec<Shelf> = (0..3).map(|_| Shelf::start(Does::Data(b"bytes".to_vec()))).collect();
+    feed.members(true, &lines(&shelfs, ["s-a", "s-b"]));
+    let server = answering(Names::Box("s-a", shelfs[0].addr, "parent=s-o"));
+    let dns = server.addr;
+    let node = Node::with_dns(&feed, &format!("follow = '{dns}'\nzone = '{ZONE}'\n"));
+    let mut client = Client::connect(node.addr);
+    let mut tag = 1_000;
+    until("the list", || {
+        tag += 1;
+        client.get(tag, "docs", tag.into(), 5).contains("good").then_some(())
+    });
+    (Bed { feed, shelfs, node, dns }, server, client)
+}
+
+/// Guards against work to a drained box while an answer that names it is still given out: none after 500 ms.
+#[test]
+fn a_held_answer_does_not_reach_a_drained_box() {
+    let (bed, server, mut client) = following();
+    assert!(bed.shelfs[0].asked()[0].fields.contains("parent=s-o"));
+    let told = bed.feed.members(false, &[line("s-a", bed.shelfs[0].addr, "std", "draining")]);
+    let (mut tag, mut refused) = (0, 0);
+    while told.elapsed() < Duration::from_millis(1_200) {
+        tag += 1;
+        let answer = client.get(tag, "docs", tag.into(), tag.into());
+        refused += u32::from(answer.contains("refused"));
+        assert!(answer.contains("good") || answer.contains("refused"), "{answer}");
+    }
+    assert!(refused > 0, "an answer that names only what drains is no answer");
+    let late = told + Duration::from_millis(500);
+    assert!(bed.shelfs[0].asked().iter().all(|a| a.at < late), "work after the drain");
+    // Nor does a filing go there, or anywhere else.
+    assert!(client.get(5_000, "cert-filing", 5_000, 9).starts_with("5000 refused"));
+    *server.names.lock().unwrap() = Names::Box("s-b", bed.shelfs[1].addr, "parent=s-a");
+    assert!(client.get(5_001, "docs", 5_001, 9).contains("refused"), "a source that drains is no source");
+    *server.names.lock().unwrap() = Names::Box("s-b", bed.shelfs[0].addr, "parent=s-o");
+    assert!(client.get(5_002, "docs", 5_002, 9).contains("refused"), "the address is another box's");
+    *server.names.lock().unwrap() = Names::Box("s-b", bed.shelfs[1].addr, "parent=s-o");
+    assert_eq!(client.get(5_003, "docs", 5_003, 9), "5003 good ver=d1 bytes");
+    assert!(bed.shelfs[0].asked().iter().all(|a| a.at < late));
+}
+
+/// Guards against a filing that runs twice by way of lookups, also while hub and boxes fail: one lookup, one
+/// run at most, and a failure where it may have run.
+#[test]
+fn a_followed_filing_runs_once_at_most() {
+    let (bed, server, mut client) = following();
+    let lookups = |rid: u64| {
+        let id = format!("r{rid:016x}.");
+        server.asked.lock().unwrap().iter().filter(|n| n.starts_with(&id)).count()
+    };
+    let runs = |rid: u64| {
+        let id = format!("{rid:016x}");
+        bed.shelfs.iter().flat_map(Shelf::asked).filter(|a| a.rid == id).count()
+    };
+    let mut tag = 0;
+    for (does, word, ran) in [
+        (Does::Close, "broken", 1),
+        (Does::Word("failed"), "broken", 1),
+        (Does::Nothing, "broken", 1),
+        (Does::Word("full"), "refused", 1),
+        (Does::Data(b"stamp".to_vec()), "good", 1),
+    ] {
+        bed.shelfs[0].does(does.clone());
+        tag += 1;
+        let answer = client.get(tag, "cert-filing", tag.into(), 9);
+        assert_eq!(answer.split(' ').nth(1), Some(word), "{does:?}");
+        assert_eq!((lookups(tag.into()), runs(tag.into())), (1, ran), "{does:?}");
+    }
+    // Refused by the server, or never answered: it went nowhere, and the client may try again.
+    for names in [Names::Code(5), Names::Code(2), Names::Silence] {
+        *server.names.lock().unwrap() = names;
+        tag += 1;
+        assert!(client.get(tag, "cert-filing", tag.into(), 9).contains("refused"));
+        assert_eq!(runs(tag.into()), 0);
+    }
+    assert!(bed.shelfs[1].count() + bed.shelfs[2].count() == 0, "nothing went where no answer led");
+}
+
+/// The whole path: one router answers, another follows it; while boxes drain and break under filings, none is
+/// asked 500 ms after its drain and none runs a filing that another has run.
+#[test]
+fn two_routers_in_a_row_keep_the_rules() {
+    let first = served(ZONE);
+    let text = format!("follow = '{}'\nzone = '{ZONE}'\n", first.dns);
+    let second = Node::with_dns(&first.feed, &text);
+    let mut client = Client::connect(second.addr);
+    let mut tag = 0;
+    until("the list", || {
+        tag += 1;
+        client.get(tag, "docs", tag.into(), 5).contains("good").then_some(())
+    });
+    let mut drained = None;
+    for n in 1..=120 {
+        match n {
+            // The hub fails: fills behind the box break off, or are not begun; then the box itself breaks.
+            15 => first.shelfs[0].does(Does::Word("failed")),
+            25 => first.shelfs[0].does(Does::Word("full")),
+            40 => first.shelfs[0].does(Does::Close),
+            60 => first.shelfs[0].does(Does::Data(b"bytes".to_vec())),
+            70 => {
+                let off = line("s-b", first.shelfs[1].addr, "std", "draining");
+                drained = Some(first.feed.members(false, &[off]));
+            }
+            _ => {}
+        }
+        let class = if n % 3 == 0 { "cert-filing" } else { "docs" };
+        let answer = client.get(tag + n, class, (10_000 + n).into(), n.into());
+        assert!(!answer.contains("end"), "{answer}");
+        thread::sleep(Duration::from_millis(if n > 70 { 20 } else { 2 }));
+    }
+    let late = drained.unwrap() + Duration::from_millis(500);
+    assert!(Instant::now() > late, "it went on for longer than the grace");
+    assert!(first.shelfs[1].asked().iter().all(|a| a.at < late), "work after the drain");
+    let filings = first.shelfs.iter().flat_map(Shelf::asked).filter(|a| a.fields.contains("cert-filing"));
+    let mut ids: Vec<String> = filings.map(|a| a.rid).collect();
+    let all = ids.len();
+    ids.sort();
+    ids.dedup();
+    assert!(all > 20 && ids.len() == all, "{} filings ran {all} times", ids.len());
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,262 @@
+//! The program as a process, spoken to as clients, shelfs and the control feed speak on the platform.
+
+mod common;
+
+use common::*;
+use std::time::{Duration, Instant};
+
+/// The feed, the program, and a client that sees two boxes and the origin listed.
+fn bed(does: [Does; 3]) -> (Feed, Node, Client, [Shelf; 3]) {
+    let feed = Feed::start();
+    let shelfs = does.map(Shelf::start);
+    feed.members(true, &listed(&shelfs));
+    let node = Node::start(&feed);
+    let mut client = Client::connect(node.addr);
+    settled(&mut client);
+    (feed, node, client, shelfs)
+}
+
+fn listed(shelfs: &[Shelf; 3]) -> Vec<String> {
+    let [a, b, origin] = shelfs;
+    vec![
+        line("s-a", a.addr, "std", "ready"),
+        line("s-b", b.addr, "std", "ready"),
+        line("s-o", origin.addr, "origin", "ready"),
+    ]
+}
+
+/// Asks until the list is known there; before, requests are refused.
+fn settled(client: &mut Client) {
+    let mut tag = 1_000;
+    until("the list", || {
+        tag += 1;
+        Some(client.get(tag, "docs", u64::from(tag), 5)).filter(|a| !a.contains("refused"))
+    });
+}
+
+fn data() -> Does {
+    Does::Data(b"some bytes".to_vec())
+}
+
+#[test]
+fn a_conversation() {
+    let (_feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    let mut said = Vec::new();
+    client.send(&array(&[b"PING", b"1", b""]));
+    said.push(client.answer());
+    said.push(client.get(2, "docs", 2, 7));
+    // A readable request with an unknown class, or with fields that can't be used, gets one failed answer.
+    said.push(client.get(3, "no-such-class", 3, 7));
+    client.ask(4, "docs", 4, ",obj=seven");
+    said.push(client.answer());
+    client.ask(5, "docs", 5, "");
+    said.push(client.answer());
+    shelfs.iter().for_each(|s| s.does(Does::Word("unchanged")));
+    client.ask(6, "docs", 6, ",obj=0000000000000007,ver=d1");
+    said.push(client.answer());
+    shelfs.iter().for_each(|s| s.does(Does::Word("absent")));
+    let refused = client.get(7, "docs", 7, 7);
+    let (head, wait) = refused.split_once('=').unwrap();
+    assert!((500..=1000).contains(&wait.parse::<u32>().unwrap()), "{refused}");
+    said.push(head.to_string());
+    insta::assert_snapshot!(said.join("\n"), @r"
+    1 fit
+    2 good ver=d1 some bytes
+    3 broken
+    4 broken
+    5 broken
+    6 good unchanged=1,ver=d1
+    7 refused backoff
+    ");
+    let fields: Vec<String> = shelfs[..2].iter().flat_map(|s| s.asked()).map(|a| a.fields).collect();
+    let held = fields.iter().find(|f| f.contains("got")).unwrap();
+    let held: Vec<&str> = held.split(',').filter(|f| !f.starts_with("max=")).collect();
+    insta::assert_snapshot!(held.join(" "), @"profile=docs thing=0000000000000007 nth=0 parent=s-o shelf=2 hints=freshen got=d1");
+}
+
+/// Guards against one client's bytes ending anything but its own connection, and against buffers for lengths
+/// that nobody may send.
+#[test]
+fn bad_frames_end_only_their_connection() {
+    let (_feed, mut node, mut client, _shelfs) = bed([data(), data(), data()]);
+    let long = b"*5\r\n$2\r\nDO\r\n$1\r\n1\r\n$4\r\ndocs\r\n$1\r\nx\r\n$999999999\r\n";
+    let cases: [&[u8]; 6] = [
+        b"GET / HTTP/1.1\r\n",
+        b"*-1\r\n",
+        b"*2\r\n$4\r\nPING\r\n$1\r\nx\r\n",
+        b"*99999\r\n",
+        long,
+        b"*1\r\n$3\r\nDOH\r\n",
+    ];
+    for case in cases {
+        let mut other = Client::connect(node.addr);
+        other.send(case);
+        assert_eq!(other.answer(), "end", "{}", String::from_utf8_lossy(case));
+    }
+    assert_eq!(client.get(1, "docs", 1, 7), "1 good ver=d1 some bytes");
+    assert!(node.child.try_wait().unwrap().is_none());
+}
+
+/// Guards against a break or garbage at one shelf reaching a client where the other shelf could serve.
+#[test]
+fn a_break_before_the_answer_is_tried_elsewhere() {
+    let bad: [Does; 3] = [Does::Close, Does::Raw(b"+nonsense\r\n"), Does::Raw(b"*4\r\n$99999999\r\n")];
+    for does in bad {
+        let (_feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+        shelfs[0].does(does.clone());
+        for n in 1..12 {
+            assert_eq!(
+                client.get(n, "docs", n.into(), n.into()),
+                format!("{n} good ver=d1 some bytes"),
+                "{does:?}"
+            );
+        }
+        let bad = shelfs[0].count();
+        assert!(bad > 0, "the shelf that breaks was never asked");
+    }
+}
+
+/// Guards against a filing that runs twice: after a whole write neither a reset, an error nor silence lets it
+/// go out again, whatever the client is told; and its id is not taken a second time.
+#[test]
+fn a_filing_that_may_have_run_is_never_sent_again() {
+    let (_feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    let mut rid = 100;
+    for does in [Does::Close, Does::Word("failed"), Does::Nothing, Does::Raw(b"!\r\n")] {
+        shelfs.iter().for_each(|s| s.does(does.clone()));
+        rid += 1;
+        assert_eq!(client.get(rid, "cert-filing", rid.into(), 9), format!("{rid} broken"));
+        assert_eq!(client.get(rid + 50, "cert-filing", rid.into(), 9), format!("{} broken", rid + 50));
+        let runs = shelfs.iter().flat_map(Shelf::asked).filter(|a| a.rid == format!("{rid:016x}"));
+        assert_eq!(runs.count(), 1, "{does:?}");
+    }
+    // What never ran is refused and may be asked for again, with the same body.
+    shelfs.iter().for_each(|s| s.does(Does::Word("full")));
+    assert!(client.get(200, "cert-filing", 200, 9).starts_with("200 refused"));
+    shelfs.iter().for_each(|s| s.does(data()));
+    assert_eq!(client.get(201, "cert-filing", 200, 9), "201 good ver=d1 some bytes");
+    let all: Vec<Asked> = shelfs.iter().flat_map(Shelf::asked).collect();
+    assert!(all.iter().filter(|a| a.fields.contains("cert-filing")).all(|a| a.body == b"a body"));
+}
+
+/// Guards against work to a drained box, or with a drained box as source, later than 500 ms after it was told.
+#[test]
+fn a_drained_box_gets_nothing_new() {
+    let (feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    let told = feed.members(false, &[line("s-a", shelfs[0].addr, "std", "draining")]);
+    let mut tag = 0;
+    while told.elapsed() < Duration::from_millis(900) {
+        tag += 1;
+        assert_eq!(client.get(tag, "docs", tag.into(), tag.into()), format!("{tag} good ver=d1 some bytes"));
+    }
+    let late = told + Duration::from_millis(500);
+    assert!(shelfs[0].asked().iter().all(|a| a.at < late), "work after the drain");
+    let after: Vec<Asked> = shelfs[1].asked().into_iter().filter(|a| a.at >= late).collect();
+    assert!(!after.is_empty() && after.iter().all(|a| !a.fields.contains("parent=s-a")));
+}
+
+/// Guards against the old copy after a purge, and against events lost while the feed is away.
+#[test]
+fn a_purge_bounds_the_age_and_the_feed_is_resumed() {
+    let (feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    feed.cut();
+    feed.tell(&format!("\"purge\":{{\"key\":\"0000000000000007\",\"at\":{}}}", unix_ms()));
+    until("a new call", || (feed.calls().len() > 1).then_some(()));
+    assert_eq!(feed.calls()[..2], [0, 1], "the second call names the last event");
+    let mut tag = 0;
+    let bound = until("the purge", || {
+        tag += 1;
+        client.get(tag, "docs", tag.into(), 7);
+        let last = shelfs[..2].iter().flat_map(Shelf::asked).max_by_key(|a| a.at)?.fields;
+        let accept = last.split(',').find_map(|f| f.strip_prefix("accept="))?;
+        accept.parse::<u64>().ok()
+    });
+    assert!(bound < 8_000, "no copy older than the purge will do, not {bound} ms");
+}
+
+/// Guards against connections to a process that has gone: its address belongs to another box now.
+#[test]
+fn an_address_that_passes_on_gets_new_connections() {
+    let (feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    client.get(1, "docs", 1, 7);
+    let [a, b, _] = &shelfs;
+    let gone = |uid, addr| line(uid, addr, "std", "gone");
+    feed.members(false, &[gone("s-a", a.addr), gone("s-b", b.addr), line("s-c", a.addr, "std", "ready")]);
+    let before = b.count();
+    let (mut tag, mut met) = (1, 0);
+    until("the new box", || {
+        tag += 1;
+        let count = a.count();
+        assert!(client.get(tag, "docs", tag.into(), tag.into()).contains("good"));
+        met += usize::from(a.count() > count);
+        (met > 5).then_some(())
+    });
+    let served = b.count();
+    assert!(client.get(900, "docs", 900, 900).contains("good"));
+    assert_eq!(b.count(), served, "work to a box that has gone, after {before}");
+}
+
+/// Guards against an answer that is owed to somebody who has left, and against work for it going on.
+#[test]
+fn who_stops_waiting_is_not_answered_and_his_attempt_is_given_up() {
+    let (_feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    shelfs.iter().for_each(|s| s.does(Does::Nothing));
+    client.ask(1, "docs", 77, ",obj=0000000000000007");
+    let quits = || shelfs.iter().flat_map(|s| s.quits.lock().unwrap().clone()).collect::<Vec<_>>();
+    until("the attempt", || {
+        shelfs.iter().any(|s| s.asked().iter().any(|a| a.rid.ends_with("4d"))).then_some(())
+    });
+    client.send(&array(&[b"UNDO", b"1"]));
+    until("the end of the attempt", || quits().contains(&format!("{:016x}", 77)).then_some(()));
+    client.send(&array(&[b"PING", b"2", b""]));
+    assert_eq!(client.answer(), "2 fit");
+    // And with nobody leaving, a deadline brings the one final answer in time.
+    let start = Instant::now();
+    assert_eq!(client.get(3, "cert-filing", 78, 7), "3 broken");
+    assert!(start.elapsed() >= Duration::from_millis(1_400), "{:?}", start.elapsed());
+}
+
+#[test]
+fn sigterm_finishes_what_is_open_and_exits_cleanly() {
+    let (_feed, mut node, mut client, shelfs) = bed([data(), data(), data()]);
+    shelfs.iter().for_each(|s| s.does(Does::Nothing));
+    client.ask(1, "cert-filing", 77, ",obj=0000000000000007");
+    until("the attempt", || {
+        shelfs.iter().any(|s| s.asked().iter().any(|a| a.rid.ends_with("4d"))).then_some(())
+    });
+    node.signal("-TERM");
+    shelfs.iter().for_each(|s| s.does(data()));
+    let mut late = Client::connect(node.addr);
+    assert_eq!(
+        late.get(1, "docs", 78, 8),
+        "1 good ver=d1 some bytes",
+        "new connections are served for a while"
+    );
+    assert_eq!(client.answer(), "1 broken", "the open request is answered at its deadline");
+    assert!(node.ended().0.success());
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let feed: std::net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let good = config(feed);
+    let dns = file("dns.toml", "zone = 'a..b'\nlisten = '127.0.0.1:0'\n");
+    let dns = dns.to_str().unwrap();
+    let cases: Vec<(String, Vec<&str>, &str)> = vec![
+        ("{".into(), vec![], "EOF while parsing"),
+        (
+            good.replace("\"retryable\"", "\"often\""),
+            vec![],
+            "setting classes.0.effect: can't read \"often\"",
+        ),
+        (good.replace("\"sendCap\":6", "\"sendCap\":0"), vec![], "max_attempts"),
+        (good.replace("8c1f30d27a5be964", "seed"), vec![], "not a hex number"),
+        (good.clone(), vec!["--dns", dns], "is no name"),
+        (good.clone(), vec!["--nonsense"], "usage"),
+    ];
+    for (text, args, says) in cases {
+        let out = command(&file("config.json", &text), &args).output().unwrap();
+        let err = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && err.contains(says) && err.lines().count() == 1, "{says}: {err}");
+    }
+}
