--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The request router: reads its configuration and serves until it is told to stop.
 
 use hollymux::config::{Config, DnsConfig};
-use hollymux::net::Driver;
+use hollymux::net::{log, Driver};
 use std::process::ExitCode;
 
 const USAGE: &str = "usage: hollymux [--dns FILE]   (NODE_CONFIG names the configuration)";
@@ -10,7 +10,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("hollymux: {}", e.to_string().replace('\n', " "));
+            log(e.to_string().replace('\n', " "));
             ExitCode::FAILURE
         }
     }
@@ -30,8 +30,9 @@
     let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG names no configuration")?;
     let config = Config::read(&text(&path)?).map_err(|e| format!("configuration {path}: {e}"))?;
     let mut driver = Driver::new(config, dns)?;
-    eprintln!("hollymux: listening on {}", driver.listens_at()?);
+    log(format_args!("listening on {}", driver.listens_at()?));
     driver.run()?;
+    log(driver.summary());
     Ok(())
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -9,7 +9,9 @@
 /// Requests that may be open on one connection.
 const OPEN_MOST: usize = 32;
 /// Bytes that may wait to be written on one connection.
-const OUT_MOST: usize = 16 << 20;
+const OUT_MOST: usize = 8 << 20;
+/// A connection with nothing open is closed after this long, also in the middle of a message.
+const IDLE: Time = 30_000 * MS;
 /// From this part of the pool in use on, new requests are refused.
 const CROWDED: f64 = 0.8;
 
@@ -23,10 +25,11 @@
 }
 
 impl Driver {
-    pub(super) fn on_accept(&mut self, listener: &mut TcpListener) -> Fate {
+    pub(super) fn on_accept(&mut self, key: Key, listener: &mut TcpListener) -> Fate {
         for _ in 0..READS {
             // A third of the descriptors is for clients; the others wait in the backlog.
             if self.clients >= self.config.sockets / 3 && !self.evict() {
+                self.pause(key, listener);
                 break;
             }
             match listener.accept() {
@@ -44,7 +47,11 @@
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    self.pause(key, listener);
+                    break;
+                }
             }
         }
         Fate::Keep
@@ -122,7 +129,7 @@
                 }
                 Err(_) => return Fate::Close,
             };
-            if said.is_err() || self.flush(key, conn) == Fate::Close {
+            if said.is_err() || self.flush(key, conn) == Fate::Close || conn.out.len() > OUT_MOST {
                 return Fate::Close;
             }
         }
@@ -141,8 +148,12 @@
     /// Puts a final answer on its connection, if that is still there.
     pub(super) fn answer(&mut self, client: Client, reply: Reply) {
         let Some(Role::Client(mut conn)) = self.take(client.conn) else { return };
-        let owed = conn.owed.remove(&client.tag);
-        debug_assert!(owed, "an answer that is not owed");
+        if !conn.owed.remove(&client.tag) {
+            // It would be a second answer.
+            self.router.counters.broken += 1;
+            debug_assert!(false, "an answer that is not owed");
+            return self.put_back(client.conn, Role::Client(conn), Fate::Keep);
+        }
         conn.used = self.now;
         let said = self.say(&mut conn, client.tag, reply);
         let full = conn.out.len() > OUT_MOST;
@@ -165,10 +176,13 @@
     }
 
     pub(super) fn client_round(&mut self, conn: &mut ClientConn) -> Fate {
-        let stuck = !conn.out.is_empty() && self.now > conn.stream.moved.max(conn.used) + STUCK;
+        // Who doesn't read holds buffers that others need.
+        let patience = if self.pool.fuller_than(CROWDED) { STUCK / 8 } else { STUCK };
+        let stuck = conn.stream.stuck(self.now, patience);
         let leaving = self.stopping.is_some_and(|at| self.now >= at + LINGER);
         let done = conn.owed.is_empty() && conn.out.is_empty();
-        if stuck || leaving && done {
+        let idle = done && self.now > conn.used + IDLE;
+        if stuck || idle || leaving && done {
             Fate::Close
         } else {
             Fate::Keep
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -54,7 +54,7 @@
             // With port 0 both take the port that UDP was given.
             let tcp = TcpListener::bind(udp.local_addr()?)?;
             tcp.set_nonblocking(true)?;
-            eprintln!("hollymux: DNS for {} on {}", self.dns.zone, udp.local_addr()?);
+            log(format_args!("DNS for {} on {}", self.dns.zone, udp.local_addr()?));
             self.place(Role::DnsUdp(udp))?;
             self.place(Role::DnsListener(tcp))?;
         }
@@ -80,9 +80,21 @@
         Fate::Keep
     }
 
-    pub(super) fn on_dns_accept(&mut self, listener: &mut TcpListener) -> Fate {
-        while self.clients < self.config.sockets / 3 {
-            let Ok((socket, _)) = listener.accept() else { break };
+    pub(super) fn on_dns_accept(&mut self, key: Key, listener: &mut TcpListener) -> Fate {
+        loop {
+            if self.clients >= self.config.sockets / 3 {
+                self.pause(key, listener);
+                break;
+            }
+            let socket = match listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    self.pause(key, listener);
+                    break;
+                }
+            };
             let (framer, out) = (Framer::default(), self.pool.chain());
             let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
             let conn = DnsConn { stream: Stream::new(socket, self.now), framer, out, used: self.now };
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -61,10 +61,12 @@
                 Ok(Some(0)) | Err(_) => fate = Fate::Close,
                 Ok(Some(n)) => {
                     feed.heard = self.now;
-                    self.feed_wait = 0;
-                    if let Err(e) = feed.reader.feed(&scratch[..n], &mut events) {
-                        eprintln!("hollymux: {e}");
-                        fate = Fate::Close;
+                    match feed.reader.feed(&scratch[..n], &mut events) {
+                        Ok(()) => self.feed_wait = 0,
+                        Err(e) => {
+                            log(e);
+                            fate = Fate::Close;
+                        }
                     }
                 }
             }
@@ -78,7 +80,7 @@
                     self.feed_at = n;
                     self.inbox.extend(told.map(Input::Told));
                 }
-                Err(e) => eprintln!("hollymux: control feed: {e}"),
+                Err(e) => log(format_args!("control feed: {e}")),
             }
         }
         fate
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,14 +23,14 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::net::UnixStream;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wheel::Wheel;
 
 const MS: Time = 1_000;
 /// New connections and requests are taken for this long after SIGTERM.
 const LINGER: Time = 700 * MS;
-/// What is open then has this much longer at most.
-const FINISH: Time = 6_000 * MS;
+/// What is open then has as long as the longest deadline, and this.
+const FINISH: Time = 300 * MS;
 /// How often the driver looks after idle and stuck connections.
 const ROUND: Time = 250 * MS;
 /// Reads of one connection in a row, so that none starves the others.
@@ -75,18 +75,29 @@
     Close,
 }
 
-/// The Unix clock in microseconds, never running backwards.
-#[derive(Default)]
-struct Clock(Time);
+/// The Unix clock in microseconds as it stood at the start, and steady from then on: a step of the system's
+/// clock must neither stop the timers nor end all waits at once.
+struct Clock {
+    unix: Duration,
+    since: Instant,
+}
 
 impl Clock {
-    fn now(&mut self) -> Time {
+    fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        self.0 = self.0.max(u64::try_from(unix.as_micros()).unwrap_or(u64::MAX));
-        self.0
+        Clock { unix, since: Instant::now() }
+    }
+
+    fn now(&self) -> Time {
+        u64::try_from((self.unix + self.since.elapsed()).as_micros()).unwrap_or(u64::MAX)
     }
 }
 
+/// A line for the operator. One that can't be written is lost; it must end nothing.
+pub fn log(line: impl std::fmt::Display) {
+    let _lost = writeln!(io::stderr(), "hollymux: {line}");
+}
+
 /// A stream with what waits to be written on it.
 struct Stream {
     socket: TcpStream,
@@ -101,6 +112,11 @@
         Stream { socket, waiting: false, moved: now }
     }
 
+    /// Whether it has waited for the other side to take something for that long.
+    fn stuck(&self, now: Time, long: Time) -> bool {
+        self.waiting && now > self.moved + long
+    }
+
     /// Reads once; none: nothing there now. Zero bytes: the end.
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
         loop {
@@ -115,6 +131,9 @@
 
     /// Writes as much of a chain as the socket takes; whether that was all.
     fn write(&mut self, chain: &mut Chain, now: Time) -> io::Result<bool> {
+        if !self.waiting {
+            self.moved = now;
+        }
         while !chain.is_empty() {
             match self.socket.write(chain.front()) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
@@ -157,6 +176,8 @@
     inbox: VecDeque<Input>,
     commands: Vec<Command>,
     listener: Key,
+    /// Listeners that are not asked for now.
+    paused: Vec<Key>,
     clients: usize,
     shelfs: HashMap<HostId, shelfs::Line>,
     attempts: HashMap<AttemptId, Key>,
@@ -175,7 +196,7 @@
 impl Driver {
     /// Binds the listener, registers the signal and takes what the configuration already knows.
     pub fn new(mut config: Config, dns: DnsConfig) -> io::Result<Driver> {
-        let mut clock = Clock::default();
+        let clock = Clock::start();
         let now = clock.now();
         let router = Router::new(&config, dns.follow.is_some()).map_err(io::Error::other)?;
         let known = std::mem::take(&mut config.known.1);
@@ -193,6 +214,7 @@
             inbox: known.into_iter().map(Input::Told).collect(),
             commands: Vec::new(),
             listener: 0,
+            paused: Vec::new(),
             clients: 0,
             shelfs: HashMap::new(),
             attempts: HashMap::new(),
@@ -258,13 +280,13 @@
     fn on_event(&mut self, key: Key, flags: EventFlags) {
         let Some(mut role) = self.take(key) else { return };
         let fate = match &mut role {
-            Role::Listener(l) => self.on_accept(l),
+            Role::Listener(l) => self.on_accept(key, l),
             Role::Signal(s) => self.on_signal(s),
             Role::Client(c) => self.on_client(key, c, flags),
             Role::Shelf(s) => self.on_shelf(key, s, flags),
             Role::Feed(f) => self.on_feed(f, flags),
             Role::DnsUdp(s) => self.on_dns_udp(s),
-            Role::DnsListener(l) => self.on_dns_accept(l),
+            Role::DnsListener(l) => self.on_dns_accept(key, l),
             Role::DnsConn(c) => self.on_dns_conn(key, c, flags),
             Role::Resolver(s) => self.on_resolver(s),
         };
@@ -281,6 +303,7 @@
             Timer::Round => {
                 self.wheel.set(self.now + ROUND, Timer::Round);
                 self.look_after();
+                self.listen_again();
             }
             Timer::Drained => {
                 self.close(self.listener);
@@ -291,6 +314,34 @@
         self.settle();
     }
 
+    /// What was counted, in one line.
+    pub fn summary(&self) -> String {
+        let c = self.router.counters;
+        format!(
+            "took {} requests: {} served, {} refused, {} failed; {} attempts, {} lookups; invariants broken: {}",
+            c.taken, c.served, c.refused, c.failed, c.attempts, c.lookups, c.broken
+        )
+    }
+
+    /// Stops asking a listener that can't be served now: what waits there would wake the driver for ever.
+    fn pause(&mut self, key: Key, listener: &TcpListener) {
+        let data = epoll::EventData::new_u64(key);
+        if epoll::modify(&self.poll, listener, data, EventFlags::empty()).is_ok() {
+            self.paused.push(key);
+        }
+    }
+
+    fn listen_again(&mut self) {
+        for key in std::mem::take(&mut self.paused) {
+            let poll = &self.poll;
+            let place = self.places.get((key & u64::from(u32::MAX)) as usize);
+            let role = place.filter(|p| u64::from(p.turn) == key >> 32).and_then(|p| p.role.as_ref());
+            if let Some(role @ (Role::Listener(_) | Role::DnsListener(_))) = role {
+                let _told = epoll::modify(poll, fd(role), epoll::EventData::new_u64(key), EventFlags::IN);
+            }
+        }
+    }
+
     /// Feeds the core until nothing is left to tell it or to do for it.
     fn settle(&mut self) {
         while let Some(input) = self.inbox.pop_front() {
@@ -315,7 +366,7 @@
             Command::Probe(host, addr) => self.probe(host, addr),
             Command::Drop(host) => self.drop_line(host, Fate::Close),
             Command::Hold(host) => self.drop_line(host, Fate::Keep),
-            Command::Log(line) => eprintln!("hollymux: {line}"),
+            Command::Log(line) => log(line),
         }
     }
 
@@ -325,8 +376,9 @@
         if self.stopping.is_none() {
             self.stopping = Some(self.now);
             self.wheel.set(self.now + LINGER, Timer::Drained);
-            self.wheel.set(self.now + FINISH, Timer::Over);
-            eprintln!("hollymux: SIGTERM: finishing what is open");
+            let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
+            log("SIGTERM: finishing what is open");
         }
         Fate::Keep
     }
--- a/src/net/shelfs.rs
+++ b/src/net/shelfs.rs
@@ -200,7 +200,7 @@
                 Ok(Some(0)) | Err(_) => fate = Fate::Close,
                 Ok(Some(n)) => {
                     if let Err(e) = self.shelf_bytes(conn, &scratch[..n]) {
-                        eprintln!("hollymux: shelf {:x}: {e}", conn.host.0);
+                        log(format_args!("shelf {:x}: {e}", conn.host.0));
                         fate = Fate::Close;
                     }
                 }
@@ -326,7 +326,7 @@
     pub(super) fn shelf_round(&mut self, conn: &mut ShelfConn) -> Fate {
         let idle = (self.config.idle as f64 * IDLE_PART) as Time;
         let unused = conn.open.is_empty() && conn.queue.is_empty();
-        let stuck = !conn.queue.is_empty() && self.now > conn.stream.moved.max(conn.used) + STUCK;
+        let stuck = conn.up && conn.stream.stuck(self.now, STUCK);
         if conn.up && unused && (conn.leaving || self.now > conn.used + idle) || stuck {
             Fate::Close
         } else {
--- /dev/null
+++ b/tests/common/standins.rs
@@ -0,0 +1,277 @@
+//! Stand-ins on loopback: shelfs, the control feed, and a client of the platform's protocol.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing here takes nearly this long; a test that waits for it has failed.
+pub const LONG: Duration = Duration::from_secs(20);
+
+// ---- RESP ----
+
+pub fn array(words: &[&[u8]]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", words.len()).into_bytes();
+    for w in words {
+        out.extend(format!("${}\r\n", w.len()).bytes());
+        out.extend_from_slice(w);
+        out.extend(b"\r\n");
+    }
+    out
+}
+
+/// One array; none at the end of the stream.
+pub fn read_array(from: &mut impl BufRead) -> Option<Vec<Vec<u8>>> {
+    let number = |from: &mut dyn BufRead| -> Option<usize> {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        line.trim_end().get(1..)?.parse().ok()
+    };
+    let count = number(from)?;
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let mut word = vec![0; number(from)? + 2];
+        from.read_exact(&mut word).ok()?;
+        word.truncate(word.len() - 2);
+        words.push(word);
+    }
+    Some(words)
+}
+
+// ---- shelfs ----
+
+/// What a stand-in shelf does with a request.
+#[derive(Clone, Debug)]
+pub enum Does {
+    Data(Vec<u8>),
+    Word(&'static str),
+    Raw(&'static [u8]),
+    Nothing,
+    Close,
+}
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub at: Instant,
+    pub rid: String,
+    pub fields: String,
+    pub body: Vec<u8>,
+}
+
+pub struct Shelf {
+    pub addr: SocketAddr,
+    pub does: Arc<Mutex<Does>>,
+    pub asked: Arc<Mutex<Vec<Asked>>>,
+    /// Ids that were given up.
+    pub quits: Arc<Mutex<Vec<String>>>,
+}
+
+impl Shelf {
+    pub fn start(does: Does) -> Shelf {
+        Shelf::at("127.0.0.1:0", does)
+    }
+
+    pub fn at(addr: &str, does: Does) -> Shelf {
+        let listener = TcpListener::bind(addr).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let does = Arc::new(Mutex::new(does));
+        let (asked, quits) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+        let shelf = Shelf { addr, does: does.clone(), asked: asked.clone(), quits: quits.clone() };
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let (does, asked, quits) = (does.clone(), asked.clone(), quits.clone());
+                thread::spawn(move || serve(socket, &does, &asked, &quits));
+            }
+        });
+        shelf
+    }
+
+    pub fn does(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+
+    pub fn asked(&self) -> Vec<Asked> {
+        self.asked.lock().unwrap().clone()
+    }
+
+    pub fn count(&self) -> usize {
+        self.asked.lock().unwrap().len()
+    }
+}
+
+fn serve(socket: TcpStream, does: &Mutex<Does>, asked: &Mutex<Vec<Asked>>, quits: &Mutex<Vec<String>>) {
+    let mut out = socket.try_clone().unwrap();
+    let mut input = BufReader::new(socket);
+    while let Some(words) = read_array(&mut input) {
+        let text = |i: usize| String::from_utf8(words[i].clone()).unwrap();
+        if words[0] == b"QUIT" {
+            quits.lock().unwrap().push(text(1));
+            continue;
+        }
+        assert_eq!((words[0].as_slice(), words.len()), (&b"ASK"[..], 4), "{words:?}");
+        let (at, rid, fields, body) = (Instant::now(), text(1), text(2), words[3].clone());
+        asked.lock().unwrap().push(Asked { at, rid, fields, body });
+        let answer = match does.lock().unwrap().clone() {
+            Does::Data(body) => array(&[&words[1], b"data", b"digest=d1,dated=1", &body]),
+            Does::Word(word) => array(&[&words[1], word.as_bytes(), b"digest=d1", b""]),
+            Does::Raw(bytes) => bytes.to_vec(),
+            Does::Nothing => continue,
+            Does::Close => return,
+        };
+        if out.write_all(&answer).is_err() {
+            return;
+        }
+    }
+}
+
+// ---- the control feed ----
+
+#[derive(Default)]
+struct Told {
+    events: Vec<String>,
+    calls: Vec<u64>,
+    cut: u32,
+}
+
+#[derive(Clone)]
+pub struct Feed {
+    pub addr: SocketAddr,
+    told: Arc<Mutex<Told>>,
+}
+
+impl Feed {
+    pub fn start() -> Feed {
+        Feed::at("127.0.0.1:0")
+    }
+
+    pub fn at(addr: &str) -> Feed {
+        let listener = TcpListener::bind(addr).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let told = Arc::new(Mutex::new(Told::default()));
+        let feed = Feed { addr, told: told.clone() };
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let told = told.clone();
+                thread::spawn(move || Feed::serve(socket, &told));
+            }
+        });
+        feed
+    }
+
+    fn serve(mut socket: TcpStream, told: &Mutex<Told>) -> Option<()> {
+        let mut input = BufReader::new(socket.try_clone().ok()?);
+        let (mut line, mut at) = (String::new(), 0);
+        while input.read_line(&mut line).ok()? > 2 {
+            if let Some(id) = line.strip_prefix("Last-Event-ID: ") {
+                at = id.trim().parse().ok()?;
+            }
+            line.clear();
+        }
+        let cut = {
+            let mut told = told.lock().unwrap();
+            told.calls.push(at);
+            told.cut
+        };
+        // Every other call is answered in chunks, as HTTP/1.1 allows.
+        let chunked = told.lock().unwrap().calls.len() % 2 == 0;
+        let piece = |text: &str| match chunked {
+            true => format!("{:x}\r\n{text}\r\n", text.len()),
+            false => text.to_string(),
+        };
+        let how = if chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
+        socket.write_all(format!("HTTP/1.1 200 OK\r\n{how}\r\n").as_bytes()).ok()?;
+        socket.write_all(piece(": hello\n\n").as_bytes()).ok()?;
+        let mut said = Instant::now();
+        loop {
+            let (new, now) = {
+                let told = told.lock().unwrap();
+                (told.events.get(at as usize..).unwrap_or_default().to_vec(), told.cut)
+            };
+            if now != cut {
+                return None;
+            }
+            for event in new {
+                at += 1;
+                // In two pieces, as a network may deliver it.
+                let text = piece(&format!("id: {at}\ndata: {event}\n\n"));
+                let (a, b) = text.split_at(text.len() / 2);
+                socket.write_all(a.as_bytes()).ok()?;
+                socket.flush().ok()?;
+                socket.write_all(b.as_bytes()).ok()?;
+            }
+            if said.elapsed() > Duration::from_secs(1) {
+                said = Instant::now();
+                socket.write_all(piece(": still here\n\n").as_bytes()).ok()?;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Tells an event, whose number it adds; the time at which it was told.
+    pub fn tell(&self, event: &str) -> Instant {
+        let mut told = self.told.lock().unwrap();
+        let n = told.events.len() + 1;
+        told.events.push(format!("{{\"n\":{n},{event}}}"));
+        Instant::now()
+    }
+
+    /// Ends all connections.
+    pub fn cut(&self) {
+        self.told.lock().unwrap().cut += 1;
+    }
+
+    /// The numbers after which the feed was called for.
+    pub fn calls(&self) -> Vec<u64> {
+        self.told.lock().unwrap().calls.clone()
+    }
+
+    pub fn members(&self, all: bool, lines: &[String]) -> Instant {
+        self.tell(&format!("\"members\":{{\"rev\":1,\"all\":{all},\"targets\":[{}]}}", lines.join(",")))
+    }
+}
+
+pub fn line(uid: &str, addr: SocketAddr, model: &str, state: &str) -> String {
+    let az = if model == "parent" { "hub" } else { "here" };
+    format!(
+        "{{\"uid\":\"{uid}\",\"endpoint\":\"{addr}\",\"az\":\"{az}\",\"model\":\"{model}\",\"pod_group\":1,\
+         \"state\":\"{state}\",\"capacity_hint\":4,\"boot_ms\":0}}"
+    )
+}
+
+// ---- a client of the platform ----
+
+pub struct Client {
+    out: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(addr: SocketAddr) -> Client {
+        let out = TcpStream::connect(addr).unwrap();
+        out.set_read_timeout(Some(LONG)).unwrap();
+        Client { input: BufReader::new(out.try_clone().unwrap()), out }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.out.write_all(bytes).unwrap();
+    }
+
+    pub fn ask(&mut self, tag: u32, class: &str, rid: u64, more: &str) {
+        let fields = format!("rid={rid:016x},budget=1500,piece=0,lot=17{more}");
+        let tag = tag.to_string();
+        self.send(&array(&[b"DO", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), b"a body"]));
+    }
+
+    /// An answer as words, or the end of the connection.
+    pub fn answer(&mut self) -> String {
+        let words = read_array(&mut self.input);
+        words.map_or("end".into(), |w| String::from_utf8_lossy(&w.join(&b" "[..])).trim_end().to_string())
+    }
+
+    /// A request and its answer.
+    pub fn get(&mut self, tag: u32, class: &str, rid: u64, object: u64) -> String {
+        self.ask(tag, class, rid, &format!(",obj={object:016x}"));
+        self.answer()
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -233,7 +233,29 @@
         "new connections are served for a while"
     );
     assert_eq!(client.answer(), "1 broken", "the open request is answered at its deadline");
-    assert!(node.ended().0.success());
+    let (status, said) = node.ended();
+    assert!(status.success());
+    let counted = said.last().unwrap().split("requests: ").nth(1).unwrap();
+    let (shelfs, rest) = counted.split_once(" attempts").unwrap();
+    assert!(shelfs.contains("1 failed"), "{counted}");
+    insta::assert_snapshot!(rest, @", 0 lookups; invariants broken: 0");
+}
+
+/// Guards against more descriptors than are allowed, and against connections that wait for ever, or keep the
+/// driver awake, while a third of the descriptors is taken.
+#[test]
+fn clients_hold_a_third_of_the_descriptors_at_most() {
+    let feed = Feed::start();
+    let node = Node::limited(&feed, 64);
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(node.addr)).collect();
+    let fds = std::path::PathBuf::from(format!("/proc/{}/fd", node.child.id()));
+    for client in &mut clients {
+        client.send(&array(&[b"PING", b"1", b""]));
+        // An idle connection makes way for one that waits; none of those answered is taken back.
+        assert_eq!(client.answer(), "1 fit");
+        let open = std::fs::read_dir(&fds).unwrap().count();
+        assert!(open <= 64 / 3 + 10, "{open} descriptors");
+    }
 }
 
 #[test]
