Bound what lookups may take, and try another port where port 0 fits UDP alone

Seen by reading: named attempts were not bounded by OPEN_MOST, lookups of ever new ids could fill the table of filings and have real filings refused for an hour (half of it is theirs now), and a refused request of a repeatable class cleared a filing's entry of the same id.

--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -12,6 +12,8 @@
 /// A query that is not answered is sent again after this long, so many times in all.
 const ASK_AGAIN: Time = 150 * MS;
 const ASKS: u32 = 3;
+/// Ports that are tried where any will do.
+const BINDS: u32 = 32;
 /// Queries of a follower that wait for an answer.
 const ASKED_MOST: usize = 4_096;
 /// A connection without a query for this long is closed.
@@ -46,13 +48,25 @@
     }
 }
 
+/// One port for both. With port 0 the one that UDP is given may be taken for TCP: then another is tried.
+fn bind_both(listen: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
+    let mut left = if listen.port() == 0 { BINDS } else { 1 };
+    loop {
+        let udp = UdpSocket::bind(listen)?;
+        left -= 1;
+        match TcpListener::bind(udp.local_addr()?) {
+            Ok(tcp) => return Ok((udp, tcp)),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && left > 0 => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 impl Driver {
     pub(super) fn open_dns(&mut self) -> io::Result<()> {
         if let Some(listen) = self.dns.listen {
-            let udp = UdpSocket::bind(listen)?;
+            let (udp, tcp) = bind_both(listen)?;
             udp.set_nonblocking(true)?;
-            // With port 0 both take the port that UDP was given.
-            let tcp = TcpListener::bind(udp.local_addr()?)?;
             tcp.set_nonblocking(true)?;
             log(format_args!("DNS for {} on {}", self.dns.zone, udp.local_addr()?));
             self.place(Role::DnsUdp(udp))?;
--- a/src/router.rs
+++ b/src/router.rs
@@ -291,6 +291,11 @@
             let host = known.filter(|h| self.members.get(h).is_some_and(takes_work));
             return host.and_then(|h| self.filing_target(h)).map_or(Found::Refused, Found::Box);
         }
+        // Lookups cost their sender nothing: they must not use up what requests on the other front need.
+        let room = self.out.len() < OPEN_MOST && (once.is_none() || self.filings.by_id.len() < FILINGS / 2);
+        if !room {
+            return Found::Refused;
+        }
         let class = wanted.class;
         let deadline = now + self.settings.classes[usize::from(class)].deadline;
         let id = self.begin(now, deadline, Mind::Module, wanted, None, commands);
@@ -432,7 +437,8 @@
             return;
         };
         self.by_client.remove(&client);
-        if let (Some(rid), Reply::Refused(_)) = (open.wanted.rid, &reply) {
+        let once = self.classes[usize::from(open.wanted.class)].1 == Effect::Unsafe;
+        if let (Some(rid), Reply::Refused(_), true) = (open.wanted.rid, &reply, once) {
             // Refused: it never ran, and may be asked for again.
             self.filings.by_id.remove(&rid);
         }
--- a/tests/dns.rs
+++ b/tests/dns.rs
@@ -441,6 +441,21 @@
     assert!(bed.shelfs[0].asked().iter().all(|a| a.at < late));
 }
 
+/// Guards against an old copy by way of a lookup: the follower heeds the purges that it was told itself.
+#[test]
+fn a_purge_bounds_what_is_followed() {
+    let (bed, _server, mut client) = following();
+    bed.feed.tell(&format!("\"purge\":{{\"group\":17,\"at\":{}}}", unix_ms()));
+    let mut tag = 0;
+    let bound: u64 = until("the purge", || {
+        tag += 1;
+        assert!(client.get(tag, "docs", tag.into(), 9).contains("good"));
+        let last = bed.shelfs[0].asked().pop().unwrap().fields;
+        last.split(',').find_map(|f| f.strip_prefix("accept="))?.parse().ok()
+    });
+    assert!((1..8_000).contains(&bound), "no copy older than the purge will do, not {bound} ms");
+}
+
 /// Guards against a filing that runs twice by way of lookups, also while hub and boxes fail: one lookup, one
 /// run at most, and a failure where it may have run.
 #[test]
