Name no source where a host would fill from itself

The settings allow a parent or the origin as a source of others only, so the field is left out now. Test: straight_at_the_origin_no_source_is_named, which fails without the change.

--- a/src/net/shelfs.rs
+++ b/src/net/shelfs.rs
@@ -77,12 +77,10 @@
         let bytes = shelf::ask(&self.pool, &order).ok()?;
         let rid = order.ask.rid.clone();
         let key = self.connection(order.target.host, order.target.addr, &rid)?;
+        let now = self.now;
         let Some(Role::Shelf(conn)) = self.role(key) else { return None };
         conn.open.insert(rid, Sent::Attempt(order.attempt, false));
-        let now = self.now;
-        if let Some(Role::Shelf(conn)) = self.role(key) {
-            conn.queue(bytes, Some(order.attempt), now);
-        }
+        conn.queue(bytes, Some(order.attempt), now);
         self.attempts.insert(order.attempt, key);
         self.write_shelf(key);
         Some(())
--- a/src/router.rs
+++ b/src/router.rs
@@ -207,7 +207,7 @@
     }
 }
 
-/// Counters for the operator; the last two must stay 0.
+/// Counters for the operator; the last must stay 0.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counters {
     /// Requests taken.
@@ -325,7 +325,8 @@
     fn target(&self, host: HostId, fill: Fill) -> Option<Target> {
         let ready = |id| self.members.get(&id).filter(|m| takes_work(m));
         let (uid, member) = ready(host)?;
-        let source = match fill.source {
+        // On the sockets a host that fills from itself names no source.
+        let source = match fill.source.filter(|s| *s != host) {
             Some(source) => Some(ready(source)?.0.clone()),
             None => None,
         };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -197,6 +197,21 @@
     assert_eq!(b.count(), served, "work to a box that has gone, after {before}");
 }
 
+/// Guards against the origin being named as its own source when nothing else is left to ask.
+#[test]
+fn straight_at_the_origin_no_source_is_named() {
+    let (feed, _node, mut client, shelfs) = bed([data(), data(), data()]);
+    let gone = |uid, shelf: &Shelf| line(uid, shelf.addr, "std", "gone");
+    feed.members(false, &[gone("s-a", &shelfs[0]), gone("s-b", &shelfs[1])]);
+    let mut tag = 0;
+    until("the origin", || {
+        tag += 1;
+        client.get(tag, "cert-filing", tag.into(), 9);
+        (shelfs[2].count() > 0).then_some(())
+    });
+    assert!(!shelfs[2].asked()[0].fields.contains("parent="), "{:?}", shelfs[2].asked()[0]);
+}
+
 /// Guards against an answer that is owed to somebody who has left, and against work for it going on.
 #[test]
 fn who_stops_waiting_is_not_answered_and_his_attempt_is_given_up() {
