--- /dev/null
+++ b/crates/core/src/filings.rs
@@ -0,0 +1,45 @@
+//! Requests that may not be repeated, remembered by id so that none runs twice.
+
+use hollymux_decide::{HostId, Time};
+use std::collections::{HashMap, VecDeque};
+
+/// Requests that may not be repeated are remembered for this long at least, up to so many.
+const FILING_KEPT: Time = 3_600_000_000;
+const FILINGS: usize = 100_000;
+/// ...and up to so many for each MB of memory: one takes some 120 bytes.
+const FILINGS_PER_MB: usize = 1_000;
+
+/// Requests by their id that may not be repeated: when they came, and where a lookup sent them, or none if they
+/// were taken here.
+#[derive(Debug)]
+pub(crate) struct Filings {
+    pub(crate) by_id: HashMap<u64, (Time, Option<HostId>)>,
+    /// In the order in which they came, those among them that are no longer remembered too.
+    order: VecDeque<(Time, u64)>,
+    pub(crate) most: usize,
+}
+
+impl Filings {
+    pub(crate) fn new(memory_mb: u64) -> Filings {
+        let most = usize::try_from(memory_mb).unwrap_or(FILINGS).saturating_mul(FILINGS_PER_MB).min(FILINGS);
+        Filings { by_id: HashMap::new(), order: VecDeque::new(), most }
+    }
+
+    /// Remembers one; false if there is no room and nothing is old enough to be forgotten.
+    pub(crate) fn add(&mut self, now: Time, rid: u64, host: Option<HostId>) -> bool {
+        if self.by_id.len() >= self.most || self.order.len() >= 2 * self.most {
+            // Those that were refused must not take up the room of those that may have run.
+            let by_id = &self.by_id;
+            self.order.retain(|(at, rid)| by_id.get(rid).is_some_and(|f| f.0 == *at));
+            while self.order.front().is_some_and(|(at, _)| now >= at + FILING_KEPT) {
+                self.order.pop_front().map(|(_, old)| self.by_id.remove(&old));
+            }
+        }
+        let room = self.by_id.len() < self.most;
+        if room {
+            self.by_id.insert(rid, (now, host));
+            self.order.push_back((now, rid));
+        }
+        room
+    }
+}
--- a/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -4,8 +4,7 @@
 //! A lookup's answer is used at once or not at all. A request that may not be repeated is looked up and sent
 //! once: it fails if it may have run, and is refused if it can't have.
 
-use crate::interface::*;
-use crate::state::{Purges, MS, SEC};
+use hollymux_decide::*;
 use std::collections::BTreeMap;
 
 /// The wait before a further lookup, times the attempts so far.
--- a/src/router.rs
+++ b/crates/core/src/router.rs
@@ -1,15 +1,12 @@
 //! The core of a request router. It owns the decision module, the open requests and attempts, and the member
 //! list. Timed events go in, commands come out; it knows no wire, no socket and no clock.
 
-use crate::config::{Config, Member, Told};
-use crate::control::Control;
+use crate::ask::{Ask, Reply, Said, Wanted};
+use crate::filings::Filings;
 use crate::follow::{Follow, Found};
-use crate::interface::*;
-use crate::proto::front::hex16;
-use crate::proto::front::{Ask, Reply};
-use crate::proto::shelf::Said;
-use crate::routing::Wanted;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use crate::members::{Member, Told};
+use hollymux_decide::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -17,12 +14,6 @@
 const OPEN_MOST: usize = 4_096;
 /// A budget above this multiple of its class's deadline is no usable one.
 const PATIENCE: Time = 2;
-/// Requests that may not be repeated are remembered for this long at least, up to so many.
-const FILING_KEPT: Time = 3_600_000_000;
-const FILINGS: usize = 100_000;
-/// ...and up to so many for each MB of memory: one takes some 120 bytes.
-const FILINGS_PER_MB: usize = 1_000;
-
 /// Who is owed an answer: a connection and the tag of a request on it. The core only gives it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Client {
@@ -56,20 +47,6 @@
     pub fill: Fill,
 }
 
-impl Target {
-    /// The fill as fields of a request to a shelf.
-    pub fn fields(&self) -> Vec<(&'static str, String)> {
-        let f = &self.fill;
-        let hints = [(f.join, "coalesce"), (f.renew, "freshen")];
-        let hints: Vec<&str> = hints.iter().filter(|h| h.0).map(|h| h.1).collect();
-        let parent = self.source.as_ref().map(|s| ("parent", s.to_string()));
-        let shelf = (f.keep > 0).then(|| ("shelf", f.keep.to_string()));
-        let accept = f.max_age.map(|a| ("accept", (a / 1_000).max(1).to_string()));
-        let hints = (!hints.is_empty()).then(|| ("hints", hints.join("+")));
-        [parent, shelf, accept, hints].into_iter().flatten().collect()
-    }
-}
-
 /// An attempt as it is to be sent.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -92,8 +69,23 @@
     pub uid: String,
     /// The box's address.
     pub addr: SocketAddr,
-    /// The fill as `name=value`.
-    pub texts: Vec<String>,
+    /// The fill.
+    pub fill: FillHint,
+}
+
+/// A fill as a DNS answer tells it: the source is a name that may mean nothing here.
+#[derive(Debug, Default)]
+pub struct FillHint {
+    /// The source by name; none: no fill.
+    pub source: Option<String>,
+    /// The rank at which the copy is kept, 0 to 3.
+    pub keep: u8,
+    /// The oldest copy that will do.
+    pub max_age: Option<Time>,
+    /// Join a fill under way.
+    pub join: bool,
+    /// Serve an ageing copy and fetch it anew behind.
+    pub renew: bool,
 }
 
 /// Who decides where a request goes.
@@ -148,6 +140,69 @@
     Wake(Wake),
 }
 
+/// How a request was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// Served with bytes.
+    Served,
+    /// Served: the client's copy is the one.
+    Unchanged,
+    /// Refused: it never ran.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The client stopped waiting.
+    Withdrawn,
+    /// A lookup was answered with a box.
+    Named,
+}
+
+/// Why a request was closed as it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// As it was asked.
+    Asked,
+    /// Too much is open, or no further filing can be remembered.
+    NoRoom,
+    /// Its class, id or budget can't be used.
+    Unusable,
+    /// A filing of that id may have run.
+    MayHaveRun,
+    /// No box could be asked.
+    NoHost,
+    /// The last attempt ended like this.
+    Host(Status),
+    /// The client's connection or the buffers hold too much; it never came to a decision.
+    Crowded,
+}
+
+/// What became of a request; told once, when it is closed.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The request; 0 if it was never opened.
+    pub request: RequestId,
+    /// What was asked for.
+    pub wanted: Wanted,
+    /// When it came.
+    pub arrived: Time,
+    /// How long the client would wait.
+    pub budget: Time,
+    /// How long it was open.
+    pub took: Time,
+    /// How it was closed.
+    pub result: Closed,
+    /// Why.
+    pub why: Why,
+    /// Bytes of the answer.
+    pub bytes: u64,
+    /// Attempts made.
+    pub attempts: u16,
+    /// The box that was asked last, by name.
+    pub host: Option<Rc<str>>,
+    /// The source named with it, by name.
+    pub source: Option<Rc<str>>,
+}
+
 /// What the core wants done.
 #[derive(Debug)]
 pub enum Command {
@@ -167,6 +222,10 @@
     Drop(HostId),
     /// A host takes nothing more: what has not gone out to it must not go.
     Hold(HostId),
+    /// An attempt has ended, with how and after how long: for the log.
+    Tried(AttemptId, Rc<str>, Status, Time),
+    /// A request is closed: for the log and the recording.
+    Ended(Box<Ended>),
     /// A line for the operator.
     Log(String),
 }
@@ -178,6 +237,34 @@
     /// Who is owed an answer and what was asked; none: a lookup.
     from: Option<(Client, Rc<Ask>)>,
     attempts: u16,
+    arrived: Time,
+    deadline: Time,
+    /// The last box asked and its source, by name, and how that ended.
+    tried: (Option<Rc<str>>, Option<Rc<str>>),
+    last: Option<Status>,
+}
+
+impl Open {
+    fn ended(&self, request: RequestId, now: Time, result: Closed, why: Why, bytes: usize) -> Command {
+        Command::Ended(Box::new(Ended {
+            request,
+            wanted: self.wanted.clone(),
+            arrived: self.arrived,
+            budget: self.deadline.saturating_sub(self.arrived),
+            took: now.saturating_sub(self.arrived),
+            result,
+            why,
+            bytes: bytes as u64,
+            attempts: self.attempts,
+            host: self.tried.0.clone(),
+            source: self.tried.1.clone(),
+        }))
+    }
+
+    /// Why it could not be served: how its last attempt ended, or that none could be made.
+    fn why(&self) -> Why {
+        self.last.map_or(Why::NoHost, Why::Host)
+    }
 }
 
 #[derive(Debug)]
@@ -189,41 +276,6 @@
     named: bool,
 }
 
-/// Requests by their id that may not be repeated: when they came, and where a lookup sent them, or none if they
-/// were taken here.
-#[derive(Debug)]
-struct Filings {
-    by_id: HashMap<u64, (Time, Option<HostId>)>,
-    /// In the order in which they came, those among them that are no longer remembered too.
-    order: VecDeque<(Time, u64)>,
-    most: usize,
-}
-
-impl Filings {
-    fn new(memory_mb: u64) -> Filings {
-        let most = usize::try_from(memory_mb).unwrap_or(FILINGS).saturating_mul(FILINGS_PER_MB).min(FILINGS);
-        Filings { by_id: HashMap::new(), order: VecDeque::new(), most }
-    }
-
-    /// Remembers one; false if there is no room and nothing is old enough to be forgotten.
-    fn add(&mut self, now: Time, rid: u64, host: Option<HostId>) -> bool {
-        if self.by_id.len() >= self.most || self.order.len() >= 2 * self.most {
-            // Those that were refused must not take up the room of those that may have run.
-            let by_id = &self.by_id;
-            self.order.retain(|(at, rid)| by_id.get(rid).is_some_and(|f| f.0 == *at));
-            while self.order.front().is_some_and(|(at, _)| now >= at + FILING_KEPT) {
-                self.order.pop_front().map(|(_, old)| self.by_id.remove(&old));
-            }
-        }
-        let room = self.by_id.len() < self.most;
-        if room {
-            self.by_id.insert(rid, (now, host));
-            self.order.push_back((now, rid));
-        }
-        room
-    }
-}
-
 /// Counters for the operator; the last must stay 0.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counters {
@@ -243,6 +295,19 @@
     pub broken: u64,
 }
 
+/// What the core is started with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// What the module works by.
+    pub settings: Settings,
+    /// The names of the classes, by number.
+    pub classes: Vec<String>,
+    /// For random numbers.
+    pub seed: u64,
+    /// The memory limit in MB: it bounds what is remembered.
+    pub memory_mb: u64,
+}
+
 /// The core of one request router.
 #[derive(Debug)]
 pub struct Router {
@@ -265,15 +330,16 @@
 }
 
 impl Router {
-    /// The core for a configuration; clients' requests are decided here, or followed by lookups.
-    pub fn new(config: &Config, follow: bool) -> Result<Router, SettingsError> {
-        let effects = config.settings.classes.iter().map(|c| c.effect);
+    /// The core under a setup; clients' requests are decided here, or followed by lookups.
+    pub fn new(setup: Setup, follow: bool) -> Result<Router, SettingsError> {
+        let Setup { settings, classes, seed, memory_mb } = setup;
+        let effects = settings.classes.iter().map(|c| c.effect);
         Ok(Router {
-            control: Control::new(config.settings.clone(), config.seed)?,
-            classes: config.names.classes.iter().cloned().zip(effects).collect(),
-            follow: follow.then(|| Follow::new(config.settings.clone())),
-            settings: config.settings.clone(),
-            filings: Filings::new(config.memory_mb),
+            control: Control::new(settings.clone(), seed)?,
+            classes: classes.into_iter().zip(effects).collect(),
+            follow: follow.then(|| Follow::new(settings.clone())),
+            settings,
+            filings: Filings::new(memory_mb),
             found: None,
             members: HashMap::new(),
             open: HashMap::new(),
@@ -397,23 +463,27 @@
             self.counters.failed += 1;
             return commands.push(Command::Reply(client, Reply::Failed));
         };
+        let wanted =
+            Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid: Some(ask.rid.1) };
         // An id that is open can't be told from the first one at a shelf; nobody waits for longer than his class.
         let limit = self.settings.classes[usize::from(class)].deadline * PATIENCE;
-        let rid = hex16(&ask.rid).unwrap_or_default();
+        let rid = ask.rid.1;
         if self.open_ids.contains(&rid) || limit > 0 && ask.budget * 1_000 > limit {
             self.counters.failed += 1;
+            commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::Unusable));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
-        let wanted = Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid: Some(rid) };
         let once = wanted.rid.filter(|_| self.classes[usize::from(class)].1 == Effect::Unsafe);
         if once.is_some_and(|rid| self.filings.by_id.contains_key(&rid)) {
             // It was taken before, or somebody was told where to go with it: it may have run.
             self.counters.failed += 1;
+            commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::MayHaveRun));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
         let room = self.open.len() < OPEN_MOST && once.is_none_or(|rid| self.filings.add(now, rid, None));
         if !room {
             self.counters.refused += 1;
+            commands.push(unopened(&wanted, now, ask.budget, Closed::Refused, Why::NoRoom));
             let wait = self.settings.max_retry_after / 1_000;
             return commands.push(Command::Reply(client, Reply::Refused(wait)));
         }
@@ -440,7 +510,8 @@
             self.by_client.insert(*client, id);
             self.open_ids.extend(wanted.rid);
         }
-        self.open.insert(id, Open { mind, wanted, from, attempts: 0 });
+        let (arrived, tried, last) = (now, (None, None), None);
+        self.open.insert(id, Open { mind, wanted, from, attempts: 0, arrived, deadline, tried, last });
         self.drive(now, mind, Event::Request(request), commands);
         id
     }
@@ -449,19 +520,27 @@
         if let Some(request) = self.by_client.remove(&client) {
             if let Some(open) = self.open.remove(&request) {
                 open.wanted.rid.map(|rid| self.open_ids.remove(&rid));
+                commands.push(open.ended(request, now, Closed::Withdrawn, open.why(), 0));
                 self.drive(now, open.mind, Event::Withdrawn { request }, commands);
             }
         }
     }
 
     /// The one final answer of a request; it is closed by it.
-    fn reply(&mut self, request: RequestId, reply: Reply, commands: &mut Vec<Command>) {
+    fn reply(&mut self, now: Time, request: RequestId, reply: Reply, commands: &mut Vec<Command>) {
         let Some(open) = self.open.remove(&request) else {
             // A second final answer would leave the client with an answer to nothing.
             self.counters.broken += 1;
             debug_assert!(false, "a final answer after the end of request {request}");
             return;
         };
+        let (result, why, bytes) = match &reply {
+            Reply::Good(_, body) => (Closed::Served, Why::Asked, body.len()),
+            Reply::Unchanged(_) => (Closed::Unchanged, Why::Asked, 0),
+            Reply::Refused(_) => (Closed::Refused, open.why(), 0),
+            Reply::Failed => (Closed::Failed, open.why(), 0),
+        };
+        commands.push(open.ended(request, now, result, why, bytes));
         let Some((client, _)) = open.from else {
             let refused = matches!(reply, Reply::Refused(_));
             self.found = Some(if refused { Found::Refused } else { Found::Failed });
@@ -492,13 +571,13 @@
             Said::Moot => Status::Moot,
             Said::Data(digest, body) => {
                 if live {
-                    self.reply(request, Reply::Good(digest, body), commands);
+                    self.reply(now, request, Reply::Good(digest, body), commands);
                 }
                 Status::Ok
             }
             Said::Unchanged(digest) => {
                 if live {
-                    self.reply(request, Reply::Unchanged(digest), commands);
+                    self.reply(now, request, Reply::Unchanged(digest), commands);
                 }
                 Status::Ok
             }
@@ -509,7 +588,7 @@
     /// An attempt has ended; later news of it is no news.
     fn end(&mut self, now: Time, attempt: AttemptId, status: Status, commands: &mut Vec<Command>) {
         let mind = self.out.get(&attempt).map(|o| o.mind);
-        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status)) {
+        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status, commands)) {
             self.drive(now, mind, outcome, commands);
         }
     }
@@ -534,24 +613,30 @@
             members.find(|(_, m)| takes_work(m))
         };
         let (host, _) = by_name(&hint.uid).filter(|(_, m)| m.1.addr == Some(hint.addr))?;
-        let mut fill = Fill { source: None, keep: 0, max_age: None, join: false, renew: false };
-        for (name, value) in hint.texts.iter().filter_map(|t| t.split_once('=')) {
-            match name {
-                "parent" => fill.source = Some(*by_name(value)?.0),
-                "shelf" => fill.keep = value.parse().ok().filter(|k| *k <= 3)?,
-                "accept" => fill.max_age = Some(value.parse::<Time>().ok()?.checked_mul(1_000)?),
-                "hints" => {
-                    fill.join = self.settings.joins && value.split('+').any(|h| h == "coalesce");
-                    fill.renew = value.split('+').any(|h| h == "freshen");
-                }
-                _ => {}
-            }
-        }
+        let told = &hint.fill;
+        let source = match &told.source {
+            Some(name) => Some(*by_name(name)?.0),
+            None => None,
+        };
+        let join = told.join && self.settings.joins;
+        let fill = Fill { source, keep: told.keep, max_age: told.max_age, join, renew: told.renew };
         Some((*host, fill))
     }
 
-    fn outcome(&mut self, now: Time, attempt: AttemptId, status: Status) -> Option<Event> {
+    fn outcome(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        status: Status,
+        commands: &mut Vec<Command>,
+    ) -> Option<Event> {
         let out = self.out.remove(&attempt)?;
+        if let Some(open) = self.open.get_mut(&attempt.request) {
+            open.last = Some(status);
+        }
+        if let Some(uid) = self.members.get(&out.host).map(|m| m.0.clone()).filter(|_| !out.named) {
+            commands.push(Command::Tried(attempt, uid, status, now.saturating_sub(out.sent)));
+        }
         Some(Event::Outcome(Outcome {
             request: attempt.request,
             attempt: attempt.number,
@@ -651,12 +736,12 @@
                     return None;
                 }
                 commands.push(Command::Quit(attempt));
-                return self.outcome(now, attempt, Status::Cancelled);
+                return self.outcome(now, attempt, Status::Cancelled, commands);
             }
             Action::Refuse { request, retry_after } => {
-                self.reply(request, Reply::Refused(retry_after.div_ceil(1_000)), commands)
+                self.reply(now, request, Reply::Refused(retry_after.div_ceil(1_000)), commands)
             }
-            Action::Fail { request } => self.reply(request, Reply::Failed, commands),
+            Action::Fail { request } => self.reply(now, request, Reply::Failed, commands),
             Action::Timer { after, token } => {
                 commands.push(Command::Wake(now + after, Wake::Mind(mind, token)));
             }
@@ -694,8 +779,11 @@
         self.out.insert(attempt, Out { mind, host, sent: now, named: ask.is_none() });
         let Some(target) = self.target(host, fill) else {
             // It names what takes no work: it can't have run.
-            return self.outcome(now, attempt, Status::Moot);
+            return self.outcome(now, attempt, Status::Moot, commands);
         };
+        if let Some(open) = self.open.get_mut(&request) {
+            open.tried = (Some(target.uid.clone()), target.source.clone());
+        }
         match ask {
             Some(ask) => {
                 self.counters.attempts += 1;
@@ -703,7 +791,9 @@
                 commands.push(Command::Send(Order { attempt, target, timeout, class, ask }));
             }
             None => {
-                self.open.remove(&request);
+                if let Some(open) = self.open.remove(&request) {
+                    commands.push(open.ended(request, now, Closed::Named, Why::Asked, 0));
+                }
                 let aim = self.settings.classes[usize::from(class)].aim;
                 commands.push(Command::Wake(now + aim, Wake::Attempt(attempt)));
                 self.found = Some(Found::Box(target));
@@ -713,6 +803,23 @@
     }
 }
 
+/// A request that was answered without being opened; `budget` in milliseconds.
+pub fn unopened(wanted: &Wanted, arrived: Time, budget: u64, result: Closed, why: Why) -> Command {
+    Command::Ended(Box::new(Ended {
+        request: 0,
+        wanted: wanted.clone(),
+        arrived,
+        budget: budget.saturating_mul(MS),
+        took: 0,
+        result,
+        why,
+        bytes: 0,
+        attempts: 0,
+        host: None,
+        source: None,
+    }))
+}
+
 fn takes_work(member: &(Rc<str>, Member)) -> bool {
     member.1.entry.state == HostState::Ready
 }
--- a/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -5,6 +5,11 @@
 /// A point in time, or a span of it, in microseconds.
 pub type Time = u64;
 
+/// A millisecond as a [`Time`].
+pub const MS: Time = 1_000;
+/// A second as a [`Time`].
+pub const SEC: Time = 1_000_000;
+
 /// Identifies a request while it is open; never seen twice by one dispatcher.
 pub type RequestId = u32;
 
@@ -268,7 +273,7 @@
 
 impl Settings {
     /// The class of a request whose class number is one of them.
-    pub(crate) fn class(&self, r: &Request) -> &Class {
+    pub fn class(&self, r: &Request) -> &Class {
         &self.classes[usize::from(r.class)]
     }
 
--- a/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,7 +6,7 @@
 //! The same events always give the same actions.
 //!
 //! ```
-//! use hollymux::*;
+//! use hollymux_decide::*;
 //!
 //! let class = Class { aim: 400_000, deadline: 2_500_000, effect: Effect::Safe, ..Class::default() };
 //! let settings = Settings {
@@ -36,17 +36,12 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
-pub mod config;
 mod control;
-pub mod follow;
 mod interface;
-pub mod net;
-pub mod proto;
-pub mod router;
-pub mod routing;
 mod settings;
 mod state;
 
 pub use control::Control;
 pub use interface::*;
 pub use settings::{settings_from, Pairs, SettingError};
+pub use state::Purges;
--- a/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,9 +3,6 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub(crate) const MS: Time = 1_000;
-pub(crate) const SEC: Time = 1_000_000;
-
 pub(crate) fn secs(t: Time) -> f64 {
     t as f64 / SEC as f64
 }
@@ -230,14 +227,14 @@
 
 /// When what was purged last.
 #[derive(Debug, Default)]
-pub(crate) struct Purges {
+pub struct Purges {
     at: BTreeMap<(bool, u64), Time>,
     floor: Time,
 }
 
 impl Purges {
     /// Takes a purge. Beyond so many the latest time of those dropped stands for every object: nothing is forgotten.
-    pub(crate) fn add(&mut self, now: Time, p: &Purge, most: usize) {
+    pub fn add(&mut self, now: Time, p: &Purge, most: usize) {
         let at = now.saturating_sub(p.since);
         let key = p.object.map_or((true, u64::from(p.group)), |o| (false, o));
         let e = self.at.entry(key).or_insert(at);
@@ -248,12 +245,12 @@
     }
 
     /// Drops what was purged before that.
-    pub(crate) fn forget(&mut self, before: Time) {
+    pub fn forget(&mut self, before: Time) {
         self.at.retain(|_, t| *t > before);
     }
 
     /// The latest purge of a request's object; 0 if none is known.
-    pub(crate) fn latest(&self, r: &Request) -> Time {
+    pub fn latest(&self, r: &Request) -> Time {
         let object = self.at.get(&(false, r.object));
         let group = self.at.get(&(true, u64::from(r.group)));
         *object.max(group).unwrap_or(&0).max(&self.floor)
--- a/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -1,6 +1,6 @@
 //! The decision module through its interface: the mechanism, the rules and what comes back.
 
-use hollymux::*;
+use hollymux_decide::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/scale.rs
+++ b/crates/decide/tests/scale.rs
@@ -1,6 +1,6 @@
 //! Many dispatchers to a host, each of which sees a few requests a second: no bench, fixed seeds.
 
-use hollymux::*;
+use hollymux_decide::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Time = 1_000;
@@ -287,7 +287,7 @@
 /// trusted for long when it answers nothing at all.
 #[test]
 fn health_follows_the_answers_to_be_expected() {
-    let slow = |n: usize| Some(if n % 12 == 0 { 900 * MS } else { 250 * MS });
+    let slow = |n: usize| Some(if n.is_multiple_of(12) { 900 * MS } else { 250 * MS });
     let mut bed = Bed::new(settings(14, 300), 5);
     let live = play(&mut bed, 40 * SEC, |n, _| slow(n));
     let used = live.sent.iter().filter(|s| s.1.host == 3).count();
--- /dev/null
+++ b/crates/hollymux/src/serve.rs
@@ -0,0 +1,31 @@
+//! `hollymux serve`: one request router.
+
+use crate::{operator, Fail};
+use hollymux_node::config::Config;
+use hollymux_node::operator::Operator;
+use hollymux_node::Driver;
+use std::path::PathBuf;
+use tracing::info;
+
+#[derive(clap::Args, Default)]
+pub struct Options {
+    /// The operator's file (JSON5): what is on beyond the platform's protocol
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// The platform's configuration (JSON)
+    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+    config: Option<PathBuf>,
+}
+
+pub fn run(options: &Options) -> Result<(), Fail> {
+    let operator = options.operator.as_deref().map_or(Ok(Operator::default()), operator)?;
+    // Without a sub-command the platform's variable is all there is.
+    let path = options.config.clone().or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    let path = path.ok_or_else(|| Fail::unusable("NODE_CONFIG names no configuration"))?;
+    let config = Config::load(&path).map_err(Fail::unusable)?;
+    let mut driver = Driver::new(config, path, operator).map_err(Fail::ran)?;
+    info!("listening on {}", driver.listens_at().map_err(Fail::ran)?);
+    driver.run().map_err(Fail::ran)?;
+    info!("{}", driver.summary());
+    Ok(())
+}
--- a/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -81,34 +81,45 @@
 
 impl Node {
     pub fn start(feed: &Feed) -> Node {
-        Node::spawn(&config(feed.addr), None)
+        Node::spawn(&config(feed.addr), &[])
+    }
+
+    /// A router with these words on its command line.
+    pub fn logging(feed: &Feed, args: &[&str]) -> Node {
+        Node::spawn(&config(feed.addr), args)
     }
 
     /// A router that may have so many descriptors.
     pub fn limited(feed: &Feed, sockets: u32) -> Node {
-        Node::spawn(&config(feed.addr).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")), None)
+        Node::spawn(&config(feed.addr).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")), &[])
     }
 
     pub fn with_dns(feed: &Feed, dns: &str) -> Node {
-        Node::spawn(&config(feed.addr), Some(dns))
+        Node::with_operator(feed, &format!("{{dns: {{{dns}}}}}"))
+    }
+
+    pub fn with_operator(feed: &Feed, text: &str) -> Node {
+        let operator = file("operator.json5", text);
+        Node::spawn(&config(feed.addr), &["serve", "--operator", operator.to_str().unwrap()])
     }
 
-    fn spawn(config: &str, dns: Option<&str>) -> Node {
+    fn spawn(config: &str, args: &[&str]) -> Node {
         let path = file("config.json", config);
-        let dns = dns.map(|text| file("dns.toml", text).to_str().unwrap().to_string());
-        let args: Vec<&str> = dns.iter().flat_map(|d| ["--dns", d]).collect();
-        let mut child = command(&path, &args).spawn().unwrap();
+        let mut child = command(&path, args).spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (tx, lines) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| tx.send(l).is_ok()));
         let (mut addr, mut answers) = (None, None);
         while addr.is_none() {
             let line = lines.recv_timeout(LONG).expect("the program says where it listens");
-            let last = line.rsplit(' ').next().and_then(|a| a.parse().ok());
-            if line.contains("listening on") {
-                addr = last;
-            } else if line.contains("DNS for") {
-                answers = last;
+            // Behind the words in text, up to the quote in JSON.
+            let word = |words: &str| {
+                let rest = line.split_once(words)?.1;
+                rest.split([' ', '"']).next()?.parse().ok()
+            };
+            addr = addr.or_else(|| word("listening on "));
+            if line.contains("DNS for") {
+                answers = word(" on ");
             }
         }
         let dir = path.parent().unwrap().to_path_buf();
--- a/tests/common/standins.rs
+++ b/crates/hollymux/tests/common/standins.rs
@@ -195,7 +195,7 @@
             (told.cut, told.calls.len(), told.mute, told.broken)
         };
         // Every other call is answered in chunks, as HTTP/1.1 allows.
-        let chunked = told.lock().unwrap().calls.len() % 2 == 0;
+        let chunked = told.lock().unwrap().calls.len().is_multiple_of(2);
         let piece = |text: &str| match chunked {
             true => format!("{:x}\r\n{text}\r\n", text.len()),
             false => text.to_string(),
--- a/tests/dns.rs
+++ b/crates/hollymux/tests/dns.rs
@@ -153,7 +153,7 @@
     let feed = Feed::start();
     let shelfs: Vec<Shelf> = (0..3).map(|_| Shelf::start(Does::Data(b"bytes".to_vec()))).collect();
     feed.members(true, &lines(&shelfs, uids));
-    let node = Node::with_dns(&feed, &format!("listen = '127.0.0.1:0'\nzone = '{zone}'\n"));
+    let node = Node::with_dns(&feed, &format!("listen: '127.0.0.1:0', zone: '{zone}'"));
     let dns = node.dns.unwrap();
     let name = DOCS.replace(ZONE, zone);
     until("the list", || (ask(dns, &name, A)[0] == "NOERROR").then_some(()));
@@ -404,7 +404,7 @@
     feed.members(true, &lines(&shelfs, ["s-a", "s-b"]));
     let server = answering(Names::Box("s-a", shelfs[0].addr, "parent=s-o"));
     let dns = server.addr;
-    let node = Node::with_dns(&feed, &format!("follow = '{dns}'\nzone = '{ZONE}'\n"));
+    let node = Node::with_dns(&feed, &format!("follow: '{dns}', zone: '{ZONE}'"));
     let mut client = Client::connect(node.addr);
     let mut tag = 1_000;
     until("the list", || {
@@ -498,7 +498,7 @@
 #[test]
 fn two_routers_in_a_row_keep_the_rules() {
     let first = served(ZONE);
-    let text = format!("follow = '{}'\nzone = '{ZONE}'\n", first.dns);
+    let text = format!("follow: '{}', zone: '{ZONE}'", first.dns);
     let second = Node::with_dns(&first.feed, &text);
     let mut client = Client::connect(second.addr);
     let mut tag = 0;
--- /dev/null
+++ b/crates/hollymux/tests/line.rs
@@ -0,0 +1,81 @@
+//! The command line: what is printed, and the exit codes that scripts go by.
+
+mod common;
+
+use common::*;
+
+fn run(args: &[&str]) -> (i32, String, String) {
+    let path = file("config.json", "");
+    let out = command(&path, args).stdout(std::process::Stdio::piped()).output().unwrap();
+    let text = |b: Vec<u8>| String::from_utf8(b).unwrap();
+    (out.status.code().unwrap(), text(out.stdout), text(out.stderr))
+}
+
+#[test]
+fn every_fault_of_an_operators_file_is_told_with_its_place() {
+    let text = "{\n  dns: {\n    zone: 'a..b',\n    lisen: '127.0.0.1:5300',\n    follow: 'nowhere',\n  },\n  dsn: 1,\n}";
+    let path = file("operator.json5", text);
+    let (code, out, err) = run(&["check", path.to_str().unwrap()]);
+    let err = err.replace(path.to_str().unwrap(), "FILE");
+    assert_eq!((code, out.as_str()), (2, ""));
+    insta::assert_snapshot!(err, @r"
+    hollymux: FILE:3:11: dns.zone: is no domain name
+    hollymux: FILE:4:12: dns.lisen: unknown field `lisen`, expected one of `zone`, `listen`, `follow`
+    hollymux: FILE:5:13: dns.follow: invalid socket address syntax
+    hollymux: FILE:7:8: dsn: unknown field `dsn`, expected `dns`
+    ");
+}
+
+#[test]
+fn a_good_operators_file_is_printed_with_its_defaults_and_its_schema_names_every_field() {
+    let path = file("operator.json5", "{dns: {zone: 'route.example', listen: '127.0.0.1:0'}} // enough\n");
+    let (code, out, err) = run(&["check", path.to_str().unwrap()]);
+    assert_eq!((code, err.as_str()), (0, ""));
+    assert!(out.contains("\"follow\": null"), "{out}");
+    let (code, schema, _) = run(&["check", "--schema"]);
+    assert_eq!(code, 0);
+    for field in ["dns", "zone", "listen", "follow", "additionalProperties"] {
+        assert!(schema.contains(&format!("\"{field}\"")), "{field}: {schema}");
+    }
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator.json5");
+    assert_eq!(run(&["check", shipped]).0, 0);
+}
+
+#[test]
+fn usage_help_version_and_completions() {
+    assert_eq!(run(&["--nonsense"]).0, 2);
+    assert_eq!(run(&["check"]).0, 2);
+    assert_eq!(run(&["check", "no-such-file"]).0, 2);
+    assert_eq!(run(&["--log", "loud", "serve"]).0, 2);
+    assert_eq!(run(&["--version"]).1, format!("hollymux {}\n", env!("CARGO_PKG_VERSION")));
+    let (code, help, _) = run(&["--help"]);
+    assert!(code == 0 && help.contains("Examples:") && help.contains("Exit codes:"), "{help}");
+    assert!(run(&["completions", "bash"]).1.contains("_hollymux"));
+}
+
+#[test]
+fn a_request_is_followed_through_the_log_by_its_id() {
+    let feed = Feed::start();
+    let shelf = Shelf::start(Does::Data(b"bytes".to_vec()));
+    let origin = Shelf::start(Does::Data(b"bytes".to_vec()));
+    let list = [line("s-a", shelf.addr, "std", "ready"), line("s-o", origin.addr, "origin", "ready")];
+    feed.members(true, &list);
+    let node = Node::logging(&feed, &["--log", "debug", "--log-format", "json"]);
+    let mut client = Client::connect(node.addr);
+    let mut tag = 0;
+    until("the list", || {
+        tag += 1;
+        let rid = 0x9b1f_03aa_5c7e_2d40 + u64::from(tag);
+        client.get(tag, "docs", rid, 7).contains(" good ").then_some(())
+    });
+    let closed = until("the request's end", || {
+        let line = node.says("request closed");
+        let event: serde_json::Value = serde_json::from_str(&line).unwrap();
+        (event["result"] == "Served").then_some(event)
+    });
+    assert_eq!(closed["rid"], format!("{:016x}", 0x9b1f_03aa_5c7e_2d40 + u64::from(tag)));
+    assert_eq!(closed["class"], "docs");
+    assert_eq!(closed["shelf"], "s-a");
+    assert_eq!(closed["reason"], "Asked");
+    assert_eq!((closed["bytes"].as_u64(), closed["attempts"].as_u64()), (Some(5), Some(1)));
+}
--- a/tests/platform.rs
+++ b/crates/hollymux/tests/platform.rs
@@ -575,8 +575,8 @@
 fn a_bad_configuration_is_one_plain_line() {
     let feed: std::net::SocketAddr = "127.0.0.1:9".parse().unwrap();
     let good = config(feed);
-    let dns = file("dns.toml", "zone = 'a..b'\nlisten = '127.0.0.1:0'\n");
-    let dns = dns.to_str().unwrap();
+    let operator = file("operator.json5", "{dns: {zone: 'a..b', listen: '127.0.0.1:0'}}");
+    let operator = operator.to_str().unwrap();
     let cases: Vec<(String, Vec<&str>, &str)> = vec![
         ("{".into(), vec![], "EOF while parsing"),
         (
@@ -586,8 +586,7 @@
         ),
         (good.replace("\"sendCap\":6", "\"sendCap\":0"), vec![], "max_attempts"),
         (good.replace("8c1f30d27a5be964", "seed"), vec![], "not a hex number"),
-        (good.clone(), vec!["--dns", dns], "is no name"),
-        (good.clone(), vec!["--nonsense"], "usage"),
+        (good.clone(), vec!["serve", "--operator", operator], "dns.zone: is no domain name"),
     ];
     for (text, args, says) in cases {
         let out = command(&file("config.json", &text), &args).output().unwrap();
--- a/src/net/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,9 +1,10 @@
 //! Clients' connections.
 
 use super::*;
-use crate::proto::front::{self, Call, Reply, Tags};
-use crate::proto::resp::Decoder;
-use crate::router::Client;
+use hollymux_core::chain::Exhausted;
+use hollymux_core::{Client, Reply, Why};
+use hollymux_wire::front::{self, Call, Tags};
+use hollymux_wire::resp::Decoder;
 use std::collections::BTreeMap;
 
 /// Requests that may be open on one connection.
@@ -139,6 +140,7 @@
                     let open = conn.owed.len() >= OPEN_MOST;
                     if open || self.pool.fuller_than(CROWDED) {
                         conn.waste += u32::from(open);
+                        debug!(request = 0, reason = ?Why::Crowded, "request refused unopened");
                         let wait = self.config.settings.max_retry_after / MS;
                         self.say(conn, tag, Reply::Refused(wait))
                     } else {
@@ -179,12 +181,7 @@
         conn.out.len() as f64 > self.pool.bytes() as f64 * OUT_PART
     }
 
-    fn say(
-        &mut self,
-        conn: &mut ClientConn,
-        tag: u64,
-        reply: Reply,
-    ) -> Result<(), crate::proto::chain::Exhausted> {
+    fn say(&mut self, conn: &mut ClientConn, tag: u64, reply: Reply) -> Result<(), Exhausted> {
         conn.out.append(front::reply(&self.pool, tag, reply)?);
         Ok(())
     }
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,142 @@
+//! The platform's configuration file, JSON.
+
+use hollymux_core::{Setup, Told};
+use hollymux_decide::{settings_from, Pairs, Settings, Time};
+use hollymux_wire::events::Names;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What is wrong with a configuration, in one line.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct ConfigError(String);
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: u64,
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Known {
+    n: u64,
+    events: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: SocketAddr,
+    seed: String,
+    limits: Limits,
+    feed: SocketAddr,
+    known: Known,
+    settings: Value,
+}
+
+/// Everything that a request router is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Memory limit in MB.
+    pub memory_mb: u64,
+    /// Limit of file descriptors.
+    pub sockets: usize,
+    /// Where the control feed is.
+    pub feed: SocketAddr,
+    /// The number of the last event known, and the events.
+    pub known: (u64, Vec<Told>),
+    /// What the module works by.
+    pub settings: Settings,
+    /// Names of numbers.
+    pub names: Names,
+    /// Requests that one connection to a shelf carries at a time.
+    pub streams: usize,
+    /// Connections idle for this long are closed by the other side.
+    pub idle: Time,
+}
+
+/// Nested JSON as the simulator's paths and values.
+fn flatten(path: &str, value: &Value, map: &mut BTreeMap<String, String>) {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let text = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_string);
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| flatten(&below(k), v, map)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            map.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, map));
+        }
+        Value::Array(items) => {
+            map.insert(path.to_string(), items.iter().map(text).collect::<Vec<_>>().join(","));
+        }
+        Value::Null => {}
+        plain => {
+            map.insert(path.to_string(), text(plain));
+        }
+    }
+}
+
+impl Config {
+    /// What the core is started with.
+    pub fn setup(&self) -> Setup {
+        Setup {
+            settings: self.settings.clone(),
+            classes: self.names.classes.clone(),
+            seed: self.seed,
+            memory_mb: self.memory_mb,
+        }
+    }
+
+    /// Reads the file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let wrong = |e: &dyn std::fmt::Display| ConfigError(format!("configuration {}: {e}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
+        Config::read(&text).map_err(|e| wrong(&e))
+    }
+
+    /// Reads the text of a configuration file.
+    pub fn read(text: &str) -> Result<Config, ConfigError> {
+        let wrong = |e: &dyn std::fmt::Display| ConfigError(e.to_string().replace('\n', " "));
+        let file: File = serde_json::from_str(text).map_err(|e| wrong(&e))?;
+        let mut map = BTreeMap::new();
+        flatten("", &file.settings, &mut map);
+        let p = Pairs::new(map);
+        let settings = settings_from(&p).map_err(|e| wrong(&e))?;
+        settings.check().map_err(|e| wrong(&e))?;
+        let class = |i| p.read(&format!("classes.{i}.name")).map(Option::unwrap_or_default);
+        let classes: Result<Vec<String>, _> = (0..settings.classes.len()).map(class).collect();
+        let names = Names {
+            classes: classes.map_err(|e| wrong(&e))?,
+            zones: p.list("failureDomains").map_err(|e| wrong(&e))?,
+            kinds: p.list("models").map_err(|e| wrong(&e))?,
+        };
+        if file.limits.sockets < 64 || file.limits.memory_mb < 16 {
+            return Err(ConfigError("limits: at least 64 sockets and 16 MB are needed".into()));
+        }
+        let mut events = Vec::new();
+        for event in file.known.events {
+            events.extend(names.value(event).map_err(|e| wrong(&e))?.1);
+        }
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| ConfigError(format!("seed: {:?} is not a hex number", file.seed)))?;
+        let streams = p.read("limits.streamsPerConn").map_err(|e| wrong(&e))?.unwrap_or(32);
+        let idle = p.read("limits.idleClose").map_err(|e| wrong(&e))?.unwrap_or(30_000_000);
+        Ok(Config {
+            listen: file.listen,
+            seed,
+            memory_mb: file.limits.memory_mb,
+            sockets: file.limits.sockets,
+            feed: file.feed,
+            known: (file.known.n, events),
+            settings,
+            names,
+            streams,
+            idle,
+        })
+    }
+}
--- a/src/net/dns.rs
+++ b/crates/node/src/dns.rs
@@ -1,11 +1,10 @@
 //! The sockets of the DNS front: queries over UDP and TCP, and the lookups of a follower.
 
 use super::*;
-use crate::follow::Found;
-use crate::interface::RequestId;
-use crate::proto::dns::{self, Answer, Framer, Name, Query, Rcode};
-use crate::router::Hint;
-use crate::routing::{self, Place as At, Wanted};
+use hollymux_core::{Found, Wanted};
+use hollymux_decide::{Effect, RequestId};
+use hollymux_wire::dns::{self, Answer, Framer, Name, Query, Rcode};
+use hollymux_wire::routing::{self, Place as At};
 use rand_core::{RngCore, SeedableRng};
 use std::net::IpAddr;
 
@@ -64,15 +63,16 @@
 
 impl Driver {
     pub(super) fn open_dns(&mut self) -> io::Result<()> {
-        if let Some(listen) = self.dns.listen {
+        let Some(front) = self.operator.dns.clone() else { return Ok(()) };
+        if let Some(listen) = front.listen {
             let (udp, tcp) = bind_both(listen)?;
             udp.set_nonblocking(true)?;
             tcp.set_nonblocking(true)?;
-            log(format_args!("DNS for {} on {}", self.dns.zone, udp.local_addr()?));
+            info!("DNS for {} on {}", front.zone, udp.local_addr()?);
             self.place(Role::DnsUdp(udp))?;
             self.place(Role::DnsListener(tcp))?;
         }
-        if let Some(server) = self.dns.follow {
+        if let Some(server) = front.follow {
             let own: IpAddr = if server.is_ipv4() { [0, 0, 0, 0].into() } else { [0u16; 8].into() };
             let udp = UdpSocket::bind((own, 0))?;
             udp.connect(server)?;
@@ -164,7 +164,7 @@
     }
 
     fn decide(&mut self, query: &Query) -> Answer {
-        let zone = &self.dns.name;
+        let zone = &self.zone;
         let wanted = match routing::place(&query.name, zone, self.router.classes()) {
             At::Elsewhere => return Answer::code(Rcode::Refused),
             At::Nowhere => return routing::nothing(Rcode::NxDomain, zone),
@@ -186,7 +186,7 @@
             self.carry_out(command);
         }
         match found {
-            Found::Box(target) => routing::named(query.kind, &self.dns.name, &target),
+            Found::Box(target) => routing::named(query.kind, &self.zone, &target),
             Found::Refused => Answer::code(Rcode::Refused),
             Found::Failed => Answer::code(Rcode::ServFail),
         }
@@ -196,9 +196,9 @@
 
     /// Asks where a request is to go.
     pub(super) fn look(&mut self, request: RequestId, wanted: &Wanted) {
-        let once = self.router.classes()[usize::from(wanted.class)].1 == crate::interface::Effect::Unsafe;
+        let once = self.router.classes()[usize::from(wanted.class)].1 == Effect::Unsafe;
         let wanted = Wanted { rid: wanted.rid.filter(|_| once), ..wanted.clone() };
-        let name = routing::name_of(&wanted, &self.dns.name, self.router.classes());
+        let name = routing::name_of(&wanted, &self.zone, self.router.classes());
         let Some(name) = name.filter(|_| self.resolver.asked.len() < ASKED_MOST) else {
             return self.inbox.push_back(Input::Found(request, Found::Failed));
         };
@@ -241,10 +241,7 @@
             let Some((code, pointed)) = dns::read_answer(&buffer[..n], id, &asked.name) else { continue };
             let request = asked.request;
             self.resolver.asked.remove(&id);
-            let hint = pointed.and_then(|p| {
-                let uid = String::from_utf8(p.target.first()?.clone()).ok()?;
-                Some(Hint { uid, addr: SocketAddr::from((p.addr?, p.port)), texts: p.texts })
-            });
+            let hint = pointed.and_then(routing::hint);
             let found = match (code == Rcode::Refused as u16, hint) {
                 (true, _) => Found::Refused,
                 (false, Some(hint)) if code == Rcode::NoError as u16 => Found::Box(hint),
--- a/src/net/feed.rs
+++ b/crates/node/src/feed.rs
@@ -1,7 +1,7 @@
 //! The connection to the control feed.
 
 use super::*;
-use crate::proto::control_feed::{call, Reader};
+use hollymux_wire::control_feed::{call, Reader};
 
 /// A comment arrives every second; silence for this long means that the connection is dead.
 const SILENCE: Time = 2_500 * MS;
@@ -76,7 +76,7 @@
                     self.feed_at = n;
                     self.inbox.extend(told.map(Input::Told));
                 }
-                Err(e) => log(format_args!("control feed: {e}")),
+                Err(e) => warn!("control feed: {e}"),
             }
         }
         match read {
@@ -85,7 +85,7 @@
                 Fate::Keep
             }
             Err(e) => {
-                log(e);
+                warn!("{e}");
                 Fate::Close
             }
         }
--- a/src/net/mod.rs
+++ b/crates/node/src/lib.rs
@@ -1,19 +1,23 @@
 //! The driver: epoll, connections, timers and signals. Only this touches sockets; what the bytes mean is in
-//! `proto`, what is done about it in `router`.
+//! `hollymux-wire`, what is done about it in `hollymux-core`.
 
 mod clients;
+pub mod config;
 mod dns;
 mod feed;
+pub mod operator;
 mod shelfs;
 mod wheel;
 
-use crate::config::{Config, DnsConfig};
-use crate::interface::{HostId, Time};
-use crate::proto::chain::{Chain, Pool, BUFFER};
-use crate::router::{AttemptId, Command, Input, Router, Wake};
 use clients::ClientConn;
+use config::Config;
 use dns::{DnsConn, Resolver};
 use feed::Feed;
+use hollymux_core::chain::{Chain, Pool, BUFFER};
+use hollymux_core::{AttemptId, Command, Ended, Input, Router, Wake};
+use hollymux_decide::{HostId, Time, MS};
+use hollymux_wire::dns::Name;
+use operator::Operator;
 use rustix::event::epoll::{self, EventFlags};
 use rustix::event::Timespec;
 use rustix::fd::{AsFd, OwnedFd};
@@ -26,9 +30,9 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{debug, info, warn};
 use wheel::Wheel;
 
-const MS: Time = 1_000;
 /// New connections and requests are taken for this long after SIGTERM.
 const LINGER: Time = 700 * MS;
 /// What is open then has as long as the longest deadline, and this.
@@ -102,11 +106,6 @@
     }
 }
 
-/// A line for the operator. One that can't be written is lost; it must end nothing.
-pub fn log(line: impl std::fmt::Display) {
-    let _lost = writeln!(io::stderr(), "hollymux: {line}");
-}
-
 /// A stream with what waits to be written on it.
 struct Stream {
     socket: TcpStream,
@@ -193,7 +192,9 @@
     shelfs: HashMap<HostId, shelfs::Line>,
     attempts: HashMap<AttemptId, Key>,
     shelf_conns: usize,
-    dns: DnsConfig,
+    operator: Operator,
+    /// The zone of the DNS front; empty without one.
+    zone: Name,
     resolver: Resolver,
     feed_at: u64,
     feed_key: Option<Key>,
@@ -206,10 +207,11 @@
 
 impl Driver {
     /// Binds the listener, registers the signals and takes what the configuration already knows.
-    pub fn new(mut config: Config, path: PathBuf, dns: DnsConfig) -> io::Result<Driver> {
+    pub fn new(mut config: Config, path: PathBuf, operator: Operator) -> io::Result<Driver> {
         let clock = Clock::start();
         let now = clock.now();
-        let router = Router::new(&config, dns.follow.is_some()).map_err(io::Error::other)?;
+        let follows = operator.dns.as_ref().is_some_and(|d| d.follow.is_some());
+        let router = Router::new(config.setup(), follows).map_err(io::Error::other)?;
         let known = std::mem::take(&mut config.known.1);
         // A third of the memory may lie in buffers; the module and the sockets need the rest.
         let pool = Pool::new((config.memory_mb as usize) * (1 << 20) / 3 / BUFFER);
@@ -231,7 +233,8 @@
             attempts: HashMap::new(),
             shelf_conns: 0,
             resolver: Resolver::new(config.seed),
-            dns,
+            zone: operator.dns.as_ref().map(|d| d.name()).unwrap_or_default(),
+            operator,
             feed_at: config.known.0,
             feed_key: None,
             feed_wait: 0,
@@ -382,10 +385,33 @@
             Command::Probe(host, addr) => self.probe(host, addr),
             Command::Drop(host) => self.drop_line(host, Fate::Close),
             Command::Hold(host) => self.drop_line(host, Fate::Keep),
-            Command::Log(line) => log(line),
+            Command::Tried(attempt, uid, status, took) => {
+                let (request, number) = (attempt.request, attempt.number);
+                debug!(request, attempt = number, shelf = &*uid, ?status, took_us = took, "attempt ended");
+            }
+            Command::Ended(ended) => self.ended(&ended),
+            Command::Log(line) => info!("{line}"),
         }
     }
 
+    /// A request is closed: what there is to say of it.
+    fn ended(&self, e: &Ended) {
+        let class = self.router.classes().get(usize::from(e.wanted.class)).map_or("", |c| c.0.as_str());
+        debug!(
+            request = e.request,
+            rid = format_args!("{:016x}", e.wanted.rid.unwrap_or_default()),
+            class,
+            result = ?e.result,
+            reason = ?e.why,
+            took_us = e.took,
+            bytes = e.bytes,
+            attempts = e.attempts,
+            shelf = e.host.as_deref(),
+            source = e.source.as_deref(),
+            "request closed"
+        );
+    }
+
     fn on_signal(&mut self, pipe: &mut UnixStream, signal: i32) -> Fate {
         let mut bytes = [0; 16];
         let _drained = pipe.read(&mut bytes);
@@ -396,7 +422,7 @@
             self.wheel.set(self.now + LINGER, Timer::Drained);
             let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
             self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
-            log("SIGTERM: finishing what is open");
+            info!("SIGTERM: finishing what is open");
         }
         Fate::Keep
     }
@@ -406,11 +432,11 @@
     fn read_again(&mut self) {
         match Config::load(&self.path) {
             Ok(new) => {
-                log(format_args!("SIGHUP: the control feed is at {}", new.feed));
+                info!("SIGHUP: the control feed is at {}", new.feed);
                 self.config.feed = new.feed;
                 self.call_feed_anew();
             }
-            Err(e) => log(format_args!("SIGHUP: the old configuration stays: {e}")),
+            Err(e) => warn!("SIGHUP: the old configuration stays: {e}"),
         }
     }
 
--- a/src/net/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -1,10 +1,10 @@
 //! Connections to shelfs, parents and the origin.
 
 use super::*;
-use crate::interface::Effect;
-use crate::proto::resp::{Decoder, RespError};
-use crate::proto::shelf::{self, Said};
-use crate::router::{Lost, Order};
+use hollymux_core::{Lost, Order, Said};
+use hollymux_decide::Effect;
+use hollymux_wire::resp::{Decoder, RespError};
+use hollymux_wire::shelf;
 
 /// What was not begun to be written this long after it was decided is not sent: drains leave 500 ms, purges
 /// 300 ms from when they were told, and what is on its way then must have been decided before.
@@ -109,7 +109,7 @@
 
     fn try_send(&mut self, order: Order) -> Result<(), Lost> {
         let bytes = shelf::ask(&self.pool, &order).map_err(|_| Lost::Unsent)?;
-        let rid = order.ask.rid.clone();
+        let rid = order.ask.rid.0.clone();
         let key = self.connection(order.target.host, order.target.addr, &rid)?;
         let now = self.now;
         let Some(Role::Shelf(conn)) = self.role(key) else { return Err(Lost::Unsent) };
@@ -247,7 +247,7 @@
         }
         let hand = |driver: &mut Driver, conn: &mut ShelfConn, bytes: &[u8]| {
             let Err(e) = driver.shelf_bytes(conn, bytes) else { return Fate::Keep };
-            log(format_args!("shelf {:x}: {e}", conn.host.0));
+            warn!(shelf = format_args!("{:x}", conn.host.0), "a shelf's answer can't be used: {e}");
             Fate::Close
         };
         self.read_from(conn, |c| &mut c.stream, hand)
--- a/src/net/wheel.rs
+++ b/crates/node/src/wheel.rs
@@ -1,6 +1,6 @@
 //! Timers as coarse ticks on a wheel.
 
-use crate::interface::Time;
+use hollymux_decide::Time;
 
 /// The length of a tick.
 const TICK: Time = 2_000;
--- a/src/bin/hollymux-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use hollymux::{Control, Event};
+use hollymux_decide::{Control, Event};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
--- a/src/bin/hollymux-simhost/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's binary frames, to and from the types of the interface.
 
-use hollymux::*;
+use hollymux_decide::*;
 use std::collections::BTreeMap;
 
 const HEADER: usize = 16;
--- a/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The wire: frames built by hand from the record tables, round trips, and malformed frames.
 
-#[path = "../src/bin/hollymux-simhost/wire.rs"]
+#[path = "../src/wire.rs"]
 mod wire;
 
-use hollymux::*;
+use hollymux_decide::*;
 use wire::{Decoder, Encoder, Input, WireError};
 
 fn bytes(hex: &str) -> Vec<u8> {
--- a/src/proto/control_feed.rs
+++ b/crates/wire/src/control_feed.rs
@@ -1,6 +1,6 @@
 //! The control feed: an HTTP answer that carries server-sent events, fed in any pieces.
 
-use super::resp::decimal;
+use crate::resp::decimal;
 
 /// A line of the head or of an event holds at most so many bytes.
 const LINE: usize = 4 << 20;
--- a/src/proto/front.rs
+++ b/crates/wire/src/front.rs
@@ -1,7 +1,8 @@
 //! The clients' side of the platform's protocol: requests in, answers out.
 
-use super::chain::{Chain, Exhausted, Pool};
-use super::resp::{array, bulk, bulk_head, decimal, field, Decoder, Frame, RespError};
+use crate::resp::{array, bulk, bulk_head, decimal, field, Decoder, Frame, RespError};
+use hollymux_core::chain::{Chain, Exhausted, Pool};
+use hollymux_core::{Ask, Reply};
 
 /// A write carries at most so many bytes.
 pub const WRITE_MOST: usize = 48_000;
@@ -13,27 +14,6 @@
 /// A copy's tag holds at most so many bytes.
 const TAG_MOST: usize = 64;
 
-/// What a client asks for, as it came.
-#[derive(Debug)]
-pub struct Ask {
-    /// The id, 16 hex digits, passed on as it is.
-    pub rid: Vec<u8>,
-    /// The class by name.
-    pub class: Vec<u8>,
-    /// The object, as it came and as a number.
-    pub object: (Vec<u8>, u64),
-    /// The part.
-    pub part: u32,
-    /// The group.
-    pub group: u32,
-    /// How long the client waits, in milliseconds.
-    pub budget: u64,
-    /// The tag of the copy that the client holds.
-    pub held: Option<Vec<u8>>,
-    /// The body of a write.
-    pub body: Chain,
-}
-
 /// A client's message.
 #[derive(Debug)]
 pub enum Call {
@@ -72,19 +52,6 @@
     }
 }
 
-/// A final answer.
-#[derive(Debug)]
-pub enum Reply {
-    /// Served: the tag of the copy, if it is one, and its bytes.
-    Good(Option<Vec<u8>>, Chain),
-    /// The copy that the client holds is the one.
-    Unchanged(Vec<u8>),
-    /// Refused, with the milliseconds to stay away; 0: no advice.
-    Refused(u64),
-    /// Failed.
-    Failed,
-}
-
 /// The decoder for a client's connection.
 pub fn decoder(pool: &Pool) -> Decoder {
     Decoder::new(pool, BODY_AT, WRITE_MOST)
@@ -110,7 +77,7 @@
 fn ask(mut frame: Frame) -> Option<Ask> {
     let fields = frame.words.get(3).cloned().unwrap_or_default();
     let number = |name| field(&fields, name).and_then(decimal);
-    let rid = field(&fields, "rid").filter(|r| hex16(r).is_some())?.to_vec();
+    let rid = field(&fields, "rid")?;
     let object = field(&fields, "obj")?;
     // It is passed on as it came: a shelf must be able to read it.
     let usable = |v: &[u8]| v.len() <= TAG_MOST && v.iter().all(u8::is_ascii_alphanumeric);
@@ -119,7 +86,7 @@
         return None;
     }
     Some(Ask {
-        rid,
+        rid: (rid.to_vec(), hex16(rid)?),
         object: (object.to_vec(), hex16(object)?),
         part: u32::try_from(number("piece")?).ok()?,
         group: u32::try_from(number("lot")?).ok().filter(|g| *g < 256)?,
--- a/src/proto/mod.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,9 @@
-//! Protocols as state machines that are fed bytes and know no socket.
+//! Protocols as state machines that are fed bytes and know no socket: bytes in, the core's own types out.
 
-pub mod chain;
 pub mod control_feed;
 pub mod dns;
+pub mod events;
 pub mod front;
 pub mod resp;
+pub mod routing;
 pub mod shelf;
--- a/src/proto/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -1,6 +1,6 @@
 //! RESP arrays of bulk strings: an incremental decoder with bounds, and an encoder.
 
-use super::chain::{Chain, Exhausted, Pool};
+use hollymux_core::chain::{Chain, Exhausted, Pool};
 
 /// A word that is not the body holds at most so many bytes.
 const WORD: usize = 1024;
--- a/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -4,31 +4,17 @@
 //! `g17.p3.7f3a9c21e0b4d655.docs-pages.route.example`. A class that may not be repeated needs the `r` label
 //! with the request's id, the others have none. Boxes stand at `UID.box.ZONE`.
 
-use crate::interface::Effect;
-use crate::proto::dns::{self, Answer, Name, Rcode, Record};
-use crate::proto::front::hex16;
-use crate::proto::resp::decimal;
-use crate::router::Target;
+use crate::dns::{self, Answer, Name, Rcode, Record};
+use crate::front::hex16;
+use crate::resp::decimal;
+use crate::shelf::fill_fields;
+use hollymux_core::{FillHint, Hint, Target, Wanted};
+use hollymux_decide::{Effect, Time};
 use std::net::{IpAddr, SocketAddr};
 
 /// The label below the zone under which the boxes stand.
 const BOX: &[u8] = b"box";
 
-/// What is asked for by name.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Wanted {
-    /// The class, by number.
-    pub class: u16,
-    /// The object.
-    pub object: u64,
-    /// The part.
-    pub part: u32,
-    /// The group.
-    pub group: u32,
-    /// The request's id, where the class needs it.
-    pub rid: Option<u64>,
-}
-
 /// What a name is.
 #[derive(Debug, PartialEq)]
 pub enum Place {
@@ -152,7 +138,8 @@
         return Answer::code(Rcode::ServFail);
     }
     let srv = Record { owner: None, kind: dns::SRV, data: dns::srv(target.addr.port(), &owner) };
-    let texts: Vec<String> = target.fields().iter().map(|(name, value)| format!("{name}={value}")).collect();
+    let texts: Vec<String> =
+        fill_fields(target).iter().map(|(name, value)| format!("{name}={value}")).collect();
     let mut additional = vec![address(Some(owner), target.addr)];
     match kind {
         dns::SRV | dns::ANY => {
@@ -171,3 +158,22 @@
         }
     }
 }
+
+/// What an answer that was followed tells of a box: its name and address, and the fill; none if it can't be used.
+pub fn hint(pointed: dns::Pointed) -> Option<Hint> {
+    let uid = String::from_utf8(pointed.target.first()?.clone()).ok()?;
+    let mut fill = FillHint::default();
+    for (name, value) in pointed.texts.iter().filter_map(|t| t.split_once('=')) {
+        match name {
+            "parent" => fill.source = Some(value.to_string()),
+            "shelf" => fill.keep = value.parse().ok().filter(|k| *k <= 3)?,
+            "accept" => fill.max_age = Some(value.parse::<Time>().ok()?.checked_mul(1_000)?),
+            "hints" => {
+                fill.join = value.split('+').any(|h| h == "coalesce");
+                fill.renew = value.split('+').any(|h| h == "freshen");
+            }
+            _ => {}
+        }
+    }
+    Some(Hint { uid, addr: SocketAddr::from((pointed.addr?, pointed.port)), fill })
+}
--- a/src/proto/shelf.rs
+++ b/crates/wire/src/shelf.rs
@@ -1,8 +1,8 @@
 //! The shelfs' side of the platform's protocol: attempts out, answers in.
 
-use super::chain::{Chain, Exhausted, Pool};
-use super::resp::{array, bulk, bulk_head, field, Decoder, Frame, RespError};
-use crate::router::Order;
+use crate::resp::{array, bulk, bulk_head, field, Decoder, Frame, RespError};
+use hollymux_core::chain::{Chain, Exhausted, Pool};
+use hollymux_core::{Order, Said, Target};
 
 /// An object holds at most so many bytes.
 pub const OBJECT_MOST: usize = 240_000;
@@ -12,25 +12,6 @@
 /// A copy's tag holds at most so many bytes.
 const TAG_MOST: usize = 64;
 
-/// What a shelf says.
-#[derive(Debug)]
-pub enum Said {
-    /// The bytes and their tag; what was written has none.
-    Data(Option<Vec<u8>>, Chain),
-    /// The client's copy, of that tag, is the one.
-    Unchanged(Vec<u8>),
-    /// A miss: it never ran.
-    Absent,
-    /// Full: it never ran.
-    Full,
-    /// An error: it may have run.
-    Failed,
-    /// Over already: it never ran.
-    Moot,
-    /// A probe's answer: well or not.
-    Probed(bool),
-}
-
 /// The decoder for a shelf's connection.
 pub fn decoder(pool: &Pool) -> Decoder {
     Decoder::new(pool, BODY_AT, OBJECT_MOST)
@@ -69,6 +50,18 @@
     }
 }
 
+/// The fill as fields of a request to a shelf.
+pub fn fill_fields(target: &Target) -> Vec<(&'static str, String)> {
+    let f = &target.fill;
+    let hints = [(f.join, "coalesce"), (f.renew, "freshen")];
+    let hints: Vec<&str> = hints.iter().filter(|h| h.0).map(|h| h.1).collect();
+    let parent = target.source.as_ref().map(|s| ("parent", s.to_string()));
+    let shelf = (f.keep > 0).then(|| ("shelf", f.keep.to_string()));
+    let accept = f.max_age.map(|a| ("accept", (a / 1_000).max(1).to_string()));
+    let hints = (!hints.is_empty()).then(|| ("hints", hints.join("+")));
+    [parent, shelf, accept, hints].into_iter().flatten().collect()
+}
+
 /// The bytes of an attempt.
 pub fn ask(pool: &Pool, order: &Order) -> Result<Chain, Exhausted> {
     let ask = &order.ask;
@@ -85,7 +78,7 @@
     put("thing", &ask.object.0);
     put("nth", ask.part.to_string().as_bytes());
     put("max", (order.timeout / 1_000).max(1).to_string().as_bytes());
-    for (name, value) in order.target.fields() {
+    for (name, value) in fill_fields(&order.target) {
         put(name, value.as_bytes());
     }
     if let Some(held) = &ask.held {
@@ -94,7 +87,7 @@
     let mut head = Vec::with_capacity(256);
     array(&mut head, 4);
     bulk(&mut head, b"ASK");
-    bulk(&mut head, &ask.rid);
+    bulk(&mut head, &ask.rid.0);
     bulk(&mut head, &fields);
     bulk_head(&mut head, ask.body.len());
     let mut out = pool.chain();
