Add a laboratory: stand-in fleets, load and faults, on sockets and in virtual time

Need: a planner's predictions have to be checked on fleets that can be lost, overloaded and surged, and later directions need stand-ins as well. The toy server and the tests' stand-ins know no links, caches or load.

Change: crates/lab with one model of servers (links shared by transfers, ranks with LRU, bounded fills, hubs that fetch once for all, cold starts, a library that slows down and turns away) and one of clients (open loop, retries, worth), and two drivers of both: real router processes on loopback, and the routers' cores in virtual time. lab run, lab schema, a report with plots.

--- a/crates/hollymux/src/main.rs
+++ b/crates/hollymux/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: sub-commands, nothing else.
 
 mod check;
+mod lab;
 mod logs;
 mod serve;
 
@@ -19,6 +20,7 @@
   NODE_CONFIG=config.json hollymux                        serve, as the platform starts it
   hollymux serve --operator deploy/operator.json5         serve, with what the operator switched on
   hollymux check deploy/operator.json5                    tell every fault of an operator's file
+  hollymux lab run examples/day.json5 --report out        play a day on loopback, with a page of plots
   hollymux completions bash > hollymux.bash               completions for a shell
 
 Exit codes: 0 done, 1 ran and failed, 2 called wrongly or given what can't be used.";
@@ -39,6 +41,11 @@
     Serve(serve::Options),
     /// Check an operator's file and tell every fault in it
     Check(check::Options),
+    /// Play a day of stand-in servers, load and faults against real routers
+    Lab {
+        #[command(subcommand)]
+        command: lab::Command,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -81,9 +88,10 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    let done = match line.command.unwrap_or(Command::Serve(serve::Options::default())) {
+    let done = match line.command.unwrap_or_else(|| Command::Serve(serve::Options::default())) {
         Command::Serve(options) => logs::start(&line.logs).and_then(|()| serve::run(&options)),
         Command::Check(options) => check::run(&options),
+        Command::Lab { command } => lab::run(command),
         Command::Completions { shell } => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Line::command(), "hollymux", &mut text);
--- /dev/null
+++ b/crates/hollymux/tests/lab.rs
@@ -0,0 +1,32 @@
+//! The laboratory on real sockets, from the command line.
+
+mod common;
+
+use common::*;
+
+#[test]
+fn a_short_day_on_sockets_is_played_to_its_end_and_reported() {
+    let day = file(
+        "day.json5",
+        "{seconds: 4, warm_s: 1, rate_per_s: 40, purges_per_s: 1, roster_lag_ms: 300,
+          offices: [{name: 'a', hub: 'h', boxes: 2, routers: 1, link_in_flows: 30}],
+          hubs: [{name: 'h', link_flows: 30}],
+          faults: [{at_s: 2, for_s: 1, what: {crash: {who: 'a-1'}}}, {at_s: 1, for_s: 2, what: {cut: {who: 'h'}}}]}",
+    );
+    let dir = day.parent().unwrap().join("out");
+    let (day, out) = (day.to_str().unwrap(), dir.to_str().unwrap());
+    let done =
+        command(std::path::Path::new(""), &["lab", "run", day, "--json", "--report", out]).output().unwrap();
+    let report: serde_json::Value =
+        serde_json::from_slice(&std::fs::read(dir.join("report.json")).unwrap()).unwrap();
+    let asked: u64 = report["classes"].as_array().unwrap().iter().map(|c| c["asked"].as_u64().unwrap()).sum();
+    assert!(asked > 40, "{report}");
+    let worth = report["served_worth"].as_f64().unwrap();
+    assert!((0.01..=1.0).contains(&worth), "{report}");
+    let page = std::fs::read_to_string(dir.join("report.html")).unwrap();
+    assert_eq!(page.matches("<svg").count(), 2);
+    assert!(std::fs::read_to_string(dir.join("n1.log")).unwrap().contains("listening on"));
+    // A broken rule is exit code 1, and is in the report.
+    let broken = report["broken"].as_object().unwrap().is_empty();
+    assert_eq!(done.status.code(), Some(if broken { 0 } else { 1 }), "{report}");
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,32 @@
+//! The laboratory: stand-in fleets, load and faults for the request router. One fleet model is played in two ways:
+//! on real sockets against real router processes ([`sockets`]), and in virtual time round the routers' cores
+//! ([`virtually`]). It shares nothing with the planner but file formats.
+
+pub mod cache;
+pub mod day;
+pub mod load;
+pub mod pipe;
+pub mod platform;
+pub mod report;
+pub mod sockets;
+pub mod virtually;
+pub mod world;
+
+use day::{Day, What};
+use hollymux_decide::Time;
+use world::secs;
+
+/// How long news of members takes now, so long after the day's start.
+fn news_lag(day: &Day, since: Time) -> Time {
+    let now = since as f64 / 1e6;
+    let holds = |f: &&day::Fault| now >= f.at_s && f.for_s.is_none_or(|s| now < f.at_s + s);
+    let late =
+        day.faults.iter().filter(holds).map(|f| if let What::Late { by_ms } = f.what { by_ms } else { 0.0 });
+    secs((day.roster_lag_ms + late.sum::<f64>()) / 1e3)
+}
+
+/// An event of the control feed that tells of a purge.
+fn purge_event(n: u64, object: Option<u64>, group: u32, at: Time) -> String {
+    let key = object.map(|o| format!("\"key\":\"{o:016x}\",")).unwrap_or_default();
+    format!("{{\"n\":{n},\"purge\":{{{key}\"group\":{group},\"at\":{}}}}}", at / 1_000)
+}
--- /dev/null
+++ b/crates/lab/src/sockets.rs
@@ -0,0 +1,655 @@
+//! A day on real sockets: stand-in servers and control feeds on loopback, real router processes, clients whose
+//! arrivals wait for nothing. One thread plays all of it and ends it by itself.
+
+use crate::day::Day;
+use crate::load::{Ask, Clients, Got};
+use crate::platform::{config, line, seats};
+use crate::report::Counted;
+use crate::virtually::{age, Played};
+use crate::world::{secs, Call, News, Stand, Word, World, PURGE_TOLD};
+use hollymux_core::chain::Pool;
+use hollymux_decide::{Time, MS, SEC};
+use hollymux_wire::resp::{array, bulk, decimal, field, Decoder, Frame};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A router says where it listens within this, or the day can't be played.
+const READY: Duration = Duration::from_secs(10);
+/// Requests open on one client's connection, and connections to one router.
+const OPEN_MOST: usize = 24;
+const CONNS_MOST: usize = 24;
+/// What is open when no more load is offered has this long.
+const FINISH: Time = 8 * SEC;
+/// A comment keeps a control feed alive this often.
+const COMMENT: Time = SEC;
+/// An object and the words around it fit in so many bytes.
+const BODY_MOST: usize = 240_000;
+const ZEROS: [u8; 16_384] = [0; 16_384];
+
+/// How routers are started.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The program.
+    pub program: PathBuf,
+    /// Where configurations and logs are put.
+    pub dir: PathBuf,
+    /// The text of each router's operator's file, by its number; none: routers have none.
+    pub operator: Option<fn(&Path, usize) -> String>,
+}
+
+/// A router process; it ends with this value.
+struct Node {
+    child: Child,
+    addr: SocketAddr,
+    conns: Vec<usize>,
+    ticks: u64,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+enum Role {
+    Listener(TcpListener, usize),
+    Feeds(TcpListener, usize),
+    Shelf { server: usize, open: HashMap<Vec<u8>, u64> },
+    Feed { router: usize, opened: bool, head: Vec<u8> },
+    Client { router: usize, open: BTreeMap<u64, u64>, next: u64 },
+}
+
+struct Conn {
+    role: Role,
+    stream: Option<TcpStream>,
+    decoder: Decoder,
+    out: Vec<u8>,
+    sent: usize,
+    /// Nothing is read or written any more, and nothing closed.
+    mute: bool,
+}
+
+struct Lab {
+    day: Day,
+    begun: Instant,
+    unix: Time,
+    now: Time,
+    poll: Poll,
+    pool: Pool,
+    conns: HashMap<usize, Conn>,
+    next_token: usize,
+    world: World,
+    clients: Clients,
+    nodes: Vec<Node>,
+    endpoints: Vec<SocketAddr>,
+    /// Calls out: their connection and id there.
+    calls: HashMap<u64, (usize, Vec<u8>)>,
+    next_call: u64,
+    /// Clients' requests out: their connection and tag.
+    asked: HashMap<u64, (usize, u64)>,
+    /// Events of the control feed by number, and what of them each router is told when.
+    told: Vec<String>,
+    feeds: Vec<Option<usize>>,
+    due: BinaryHeap<Reverse<(Time, usize)>>,
+    sent_events: usize,
+    commented: Time,
+    counted: Counted,
+}
+
+/// Plays a day, with the world's seed. Ends within the day's length and twenty seconds.
+///
+/// # Errors
+/// A socket can't be had, or a router doesn't start.
+pub fn play(day: &Day, seed: u64, start: &Start) -> io::Result<Played> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix = u64::try_from(unix.as_micros()).unwrap_or_default();
+    let mut lab = Lab {
+        day: day.clone(),
+        begun: Instant::now(),
+        unix,
+        now: unix,
+        poll: Poll::new()?,
+        pool: Pool::new(4_096),
+        conns: HashMap::new(),
+        next_token: 0,
+        world: World::new(day, unix, seed),
+        clients: Clients::new(day, unix, seed),
+        nodes: Vec::new(),
+        endpoints: Vec::new(),
+        calls: HashMap::new(),
+        next_call: 1,
+        asked: HashMap::new(),
+        told: Vec::new(),
+        feeds: vec![None; day.routers()],
+        due: BinaryHeap::new(),
+        sent_events: 0,
+        commented: 0,
+        counted: Counted::default(),
+    };
+    for server in 0..lab.world.servers.len() {
+        let listener = TcpListener::bind(loopback())?;
+        lab.endpoints.push(listener.local_addr()?);
+        lab.put(Role::Listener(listener, server), None)?;
+    }
+    for seat in seats(day) {
+        let listener = TcpListener::bind(loopback())?;
+        let feed = listener.local_addr()?;
+        lab.put(Role::Feeds(listener, seat.number), None)?;
+        let text = config(day, &lab.world, seat, seed, feed, &lab.endpoints).to_string();
+        lab.nodes.push(spawn(start, seat.number, &text)?);
+    }
+    // The day starts once the routers run.
+    lab.unix = lab.clock();
+    lab.begun = Instant::now();
+    lab.world = World::new(day, lab.unix, seed);
+    lab.clients = Clients::new(day, lab.unix, seed);
+    lab.run()?;
+    let start = lab.unix;
+    let nodes = std::mem::take(&mut lab.nodes);
+    drop(nodes);
+    Ok(Played { start, done: lab.clients.done, world: lab.world, counted: lab.counted })
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn spawn(start: &Start, number: usize, config: &str) -> io::Result<Node> {
+    let path = start.dir.join(format!("n{}.json", number + 1));
+    std::fs::write(&path, config)?;
+    let mut command = Command::new(&start.program);
+    command.arg("serve").arg("--config").arg(&path).arg("--with-parent");
+    if let Some(text) = start.operator {
+        let operator = start.dir.join(format!("n{}.operator.json5", number + 1));
+        std::fs::write(&operator, text(&start.dir, number))?;
+        command.arg("--operator").arg(&operator);
+    }
+    let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+    let lines = BufReader::new(child.stderr.take().ok_or(ErrorKind::BrokenPipe)?);
+    let (tx, said) = std::sync::mpsc::channel();
+    let log = std::fs::File::create(start.dir.join(format!("n{}.log", number + 1)))?;
+    std::thread::spawn(move || {
+        let mut log = log;
+        for line in lines.lines().map_while(Result::ok) {
+            let _kept = writeln!(log, "{line}");
+            if let Some((_, addr)) = line.split_once("listening on ") {
+                let _told = tx.send(addr.trim().parse::<SocketAddr>());
+            }
+        }
+    });
+    // The child ends with the node, also if it never comes up.
+    let mut node = Node { child, addr: loopback(), conns: Vec::new(), ticks: 0 };
+    let addr = said.recv_timeout(READY).map_err(|_| io::Error::other("a router did not start"))?;
+    node.addr = addr.map_err(io::Error::other)?;
+    Ok(node)
+}
+
+/// Ticks of processor time that a process has used.
+fn ticks(pid: u32) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let rest = stat.rsplit(") ").next().unwrap_or_default();
+    let fields: Vec<u64> = rest.split(' ').map(|f| f.parse().unwrap_or(0)).collect();
+    fields.get(11).copied().unwrap_or(0) + fields.get(12).copied().unwrap_or(0)
+}
+
+impl Lab {
+    fn clock(&self) -> Time {
+        self.unix + u64::try_from(self.begun.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn run(&mut self) -> io::Result<()> {
+        let end = self.unix + secs(self.day.seconds);
+        let counts = self.unix + secs(self.day.warm_s);
+        let (mut counting, mut ended) = (false, false);
+        let mut events = Events::with_capacity(1_024);
+        loop {
+            self.now = self.clock();
+            if !counting && self.now >= counts {
+                counting = true;
+                self.world.count_from(self.now);
+                self.nodes.iter_mut().for_each(|n| n.ticks = ticks(n.child.id()));
+            }
+            if !ended && self.now >= end {
+                ended = true;
+                self.world.stop_counting();
+                self.count_cores();
+            }
+            if self.now >= end && (!self.clients.waiting() || self.now >= end + FINISH) {
+                return Ok(());
+            }
+            self.world.advance(self.now);
+            self.clients.advance(self.now);
+            self.settle()?;
+            let next = [self.world.due(), self.clients.due(), self.due.peek().map(|d| d.0 .0)];
+            let next = next.into_iter().flatten().min().unwrap_or(self.now + COMMENT);
+            let wait = next.saturating_sub(self.clock()).clamp(0, 50 * MS);
+            match self.poll.poll(&mut events, Some(Duration::from_micros(wait))) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            self.now = self.clock();
+            for event in &events {
+                self.on_event(
+                    event.token().0,
+                    event.is_readable() || event.is_read_closed() || event.is_error(),
+                )?;
+            }
+        }
+    }
+
+    fn count_cores(&mut self) {
+        let span = self.day.seconds - self.day.warm_s;
+        let per_s = rustix::param::clock_ticks_per_second() as f64;
+        let of = |(i, n): (usize, &Node)| crate::world::Use {
+            name: format!("n{} core", i + 1),
+            part: ticks(n.child.id()).saturating_sub(n.ticks) as f64 / per_s / span,
+        };
+        let cores: Vec<_> = self.nodes.iter().enumerate().map(of).collect();
+        self.world.also_used(cores);
+    }
+
+    fn put(&mut self, mut role: Role, mut stream: Option<TcpStream>) -> io::Result<usize> {
+        let token = self.next_token;
+        self.next_token += 1;
+        let registry = self.poll.registry();
+        match (&mut role, &mut stream) {
+            (Role::Listener(l, _) | Role::Feeds(l, _), _) => {
+                registry.register(l, Token(token), Interest::READABLE)?
+            }
+            (_, Some(s)) => {
+                let _quick = s.set_nodelay(true);
+                registry.register(s, Token(token), Interest::READABLE | Interest::WRITABLE)?;
+            }
+            _ => {}
+        }
+        let decoder = Decoder::new(&self.pool, 3, BODY_MOST);
+        self.conns.insert(token, Conn { role, stream, decoder, out: Vec::new(), sent: 0, mute: false });
+        Ok(token)
+    }
+
+    fn on_event(&mut self, token: usize, readable: bool) -> io::Result<()> {
+        let Some(conn) = self.conns.get(&token) else { return Ok(()) };
+        let accepted = match &conn.role {
+            Role::Listener(l, server) => Some((accept(l), Ok(*server))),
+            Role::Feeds(l, router) => Some((accept(l), Err(*router))),
+            _ => None,
+        };
+        if let Some((streams, whose)) = accepted {
+            for stream in streams {
+                let role = match whose {
+                    Ok(server) => Role::Shelf { server, open: HashMap::new() },
+                    Err(router) => Role::Feed { router, opened: false, head: Vec::new() },
+                };
+                let token = self.put(role, Some(stream))?;
+                if let (Ok(server), Some(conn)) = (whose, self.conns.get_mut(&token)) {
+                    conn.mute = self.world.servers[server].stand == Stand::Cut;
+                }
+            }
+            return Ok(());
+        }
+        if conn.mute {
+            return Ok(());
+        }
+        if readable {
+            self.read(token);
+        }
+        self.flush(token);
+        Ok(())
+    }
+
+    fn read(&mut self, token: usize) {
+        let mut buffer = [0; 65_536];
+        loop {
+            let Some(conn) = self.conns.get_mut(&token) else { return };
+            let n = match conn.stream.as_mut().map(|s| s.read(&mut buffer)) {
+                Some(Ok(n)) if n > 0 => n,
+                Some(Err(e)) if e.kind() == ErrorKind::WouldBlock => return,
+                Some(Err(e)) if e.kind() == ErrorKind::Interrupted => continue,
+                _ => return self.close(token),
+            };
+            let mut bytes = &buffer[..n];
+            if let Role::Feed { router, opened, head } = &mut conn.role {
+                head.extend_from_slice(bytes);
+                if !*opened && head.windows(4).any(|w| w == b"\r\n\r\n") {
+                    *opened = true;
+                    let (router, head) = (*router, String::from_utf8_lossy(head).to_string());
+                    self.open_feed(token, router, &head);
+                }
+                continue;
+            }
+            let mut frames = Vec::new();
+            let broken = loop {
+                match conn.decoder.feed(&mut bytes) {
+                    Ok(Some(frame)) => frames.push(frame),
+                    Ok(None) => break false,
+                    Err(_) => break true,
+                }
+            };
+            for frame in frames {
+                self.on_frame(token, frame);
+            }
+            if broken {
+                return self.close(token);
+            }
+        }
+    }
+
+    fn flush(&mut self, token: usize) {
+        let Some(conn) = self.conns.get_mut(&token).filter(|c| !c.mute) else { return };
+        while conn.sent < conn.out.len() {
+            match conn.stream.as_mut().map(|s| s.write(&conn.out[conn.sent..])) {
+                Some(Ok(n)) if n > 0 => conn.sent += n,
+                Some(Err(e)) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => return,
+                Some(Err(e)) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return self.close(token),
+            }
+        }
+        conn.out.clear();
+        conn.sent = 0;
+    }
+
+    fn close(&mut self, token: usize) {
+        let Some(conn) = self.conns.remove(&token) else { return };
+        match conn.role {
+            Role::Shelf { open, .. } => {
+                let mut calls: Vec<u64> = open.into_values().collect();
+                calls.sort_unstable();
+                for call in calls {
+                    self.calls.remove(&call);
+                    self.world.quit(self.now, call);
+                }
+            }
+            Role::Client { router, open, .. } => {
+                self.nodes[router].conns.retain(|c| *c != token);
+                for ask in open.into_values() {
+                    self.asked.remove(&ask);
+                    self.clients.answered(self.now, ask, Got::Lost);
+                }
+            }
+            Role::Feed { router, .. } if self.feeds[router] == Some(token) => self.feeds[router] = None,
+            Role::Feed { .. } | Role::Listener(..) | Role::Feeds(..) => {}
+        }
+    }
+
+    // ---- control feed ----
+
+    fn open_feed(&mut self, token: usize, router: usize, head: &str) {
+        let after =
+            head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")?.trim().parse::<usize>().ok());
+        let mut out = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_vec();
+        // The first event is the list that the configuration holds.
+        for event in self.told[..self.sent_events].iter().skip(after.unwrap_or(1).saturating_sub(1)) {
+            out.extend_from_slice(event.as_bytes());
+        }
+        self.feeds[router] = Some(token);
+        self.write(token, &out);
+    }
+
+    fn write(&mut self, token: usize, bytes: &[u8]) {
+        if let Some(conn) = self.conns.get_mut(&token) {
+            conn.out.extend_from_slice(bytes);
+        }
+        self.flush(token);
+    }
+
+    /// Puts an event on the feeds after a while; they go out in their order.
+    fn tell(&mut self, after: Time, event: impl FnOnce(u64) -> String) {
+        let n = self.told.len() as u64 + 2;
+        self.told.push(format!("id: {n}\ndata: {}\n\n", event(n)));
+        self.due.push(Reverse((self.now + after, self.told.len())));
+    }
+
+    // ---- requests ----
+
+    fn on_frame(&mut self, token: usize, frame: Frame) {
+        let Some(conn) = self.conns.get_mut(&token) else { return };
+        let word = |i: usize| frame.words.get(i).map_or(&[][..], Vec::as_slice);
+        match &mut conn.role {
+            Role::Shelf { server, open } => {
+                let server = *server;
+                let id = word(1).to_vec();
+                match word(0) {
+                    b"ASK" => self.on_call(token, server, id, word(2)),
+                    b"QUIT" => {
+                        if let Some(call) = open.remove(&id) {
+                            self.calls.remove(&call);
+                            self.world.quit(self.now, call);
+                        }
+                    }
+                    b"NOOP" | b"INFO" => {
+                        let well: &[u8] = if self.world.well(server) { b"well" } else { b"ill" };
+                        let mut out = Vec::new();
+                        array(&mut out, 2);
+                        bulk(&mut out, &id);
+                        bulk(&mut out, well);
+                        self.write(token, &out);
+                    }
+                    _ => self.close(token),
+                }
+            }
+            Role::Client { open, .. } => {
+                let ask = decimal(word(0)).and_then(|tag| open.remove(&tag));
+                let Some(ask) = ask else {
+                    // A second answer, unless the client has stopped waiting: that is told by UNDO.
+                    return;
+                };
+                self.asked.remove(&ask);
+                let fields = word(2);
+                let got = match word(1) {
+                    b"good" => Got::Served(age(self.now, field(fields, "ver"))),
+                    b"refused" => Got::Refused(field(fields, "backoff").and_then(decimal).unwrap_or(0) * MS),
+                    _ => Got::Failed,
+                };
+                self.clients.answered(self.now, ask, got);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_call(&mut self, token: usize, server: usize, id: Vec<u8>, fields: &[u8]) {
+        let text = |name| field(fields, name).and_then(|v| std::str::from_utf8(v).ok()).unwrap_or_default();
+        let class = self.day.classes.iter().position(|c| c.name == text("profile")).unwrap_or_default();
+        let hex = |v: &str| u64::from_str_radix(v, 16).unwrap_or_default();
+        let key = (hex(text("thing")), text("nth").parse().unwrap_or_default());
+        let source = field(fields, "parent").map(|_| text("parent"));
+        let known = source.and_then(|uid| self.world.servers.iter().position(|s| s.uid == uid));
+        let call = Call {
+            class,
+            key,
+            group: crate::load::Objects::group(key.0),
+            bytes: self.clients.objects.bytes(class, key),
+            rid: hex(&String::from_utf8_lossy(&id)),
+            accept: text("accept").parse::<Time>().ok().filter(|a| *a > 0).map(|a| a * MS),
+            keep: text("shelf").parse().unwrap_or(0),
+            source: known,
+            join: text("hints").split('+').any(|h| h == "coalesce"),
+        };
+        let number = self.next_call;
+        self.next_call += 1;
+        self.counted.attempts += 1;
+        if let Some(Conn { role: Role::Shelf { open, .. }, .. }) = self.conns.get_mut(&token) {
+            open.insert(id.clone(), number);
+        }
+        self.calls.insert(number, (token, id));
+        if source.is_some() && known.is_none() {
+            // It names what is gone.
+            return self.world.news.push(News::Answer(number, Word::Full, 0));
+        }
+        self.world.call(self.now, number, server, call);
+    }
+
+    fn on_ask(&mut self, ask: &Ask) -> io::Result<()> {
+        let router = self.day.offices[..ask.office].iter().map(|o| o.routers).sum::<usize>() + ask.router;
+        let load = |token: &usize| match self.conns.get(token).map(|c| &c.role) {
+            Some(Role::Client { open, .. }) => open.len(),
+            _ => usize::MAX,
+        };
+        let best =
+            self.nodes[router].conns.iter().copied().min_by_key(|t| load(t)).filter(|t| load(t) < OPEN_MOST);
+        let few = self.nodes[router].conns.len() < CONNS_MOST;
+        let token = match best {
+            Some(token) if load(&token) == 0 || !few => token,
+            _ => {
+                let stream = TcpStream::connect(self.nodes[router].addr)?;
+                let role = Role::Client { router, open: BTreeMap::new(), next: 1 };
+                let token = self.put(role, Some(stream))?;
+                self.nodes[router].conns.push(token);
+                token
+            }
+        };
+        let mut out = Vec::new();
+        if let Some(Conn { role: Role::Client { open, next, .. }, .. }) = self.conns.get_mut(&token) {
+            let tag = *next;
+            *next += 1;
+            open.insert(tag, ask.id);
+            self.asked.insert(ask.id, (token, tag));
+            let fields = format!(
+                "rid={:016x},budget={},obj={:016x},piece={},lot={}",
+                ask.rid, ask.budget_ms, ask.key.0, ask.key.1, ask.group
+            );
+            array(&mut out, 5);
+            bulk(&mut out, b"DO");
+            bulk(&mut out, tag.to_string().as_bytes());
+            bulk(&mut out, self.day.classes[ask.class].name.as_bytes());
+            bulk(&mut out, fields.as_bytes());
+            bulk(&mut out, b"");
+        }
+        self.write(token, &out);
+        Ok(())
+    }
+
+    fn settle(&mut self) -> io::Result<()> {
+        while self.due.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
+            // Events go out in their order: a late one holds up those behind it.
+            if let Some(Reverse((_, n))) = self.due.pop() {
+                let from = self.sent_events;
+                self.sent_events = self.sent_events.max(n);
+                let text: String = self.told[from..self.sent_events].concat();
+                for token in self.feeds.clone().into_iter().flatten() {
+                    self.write(token, text.as_bytes());
+                }
+            }
+        }
+        if self.now > self.commented + COMMENT {
+            self.commented = self.now;
+            for token in self.feeds.clone().into_iter().flatten() {
+                self.write(token, b": still here\n\n");
+            }
+        }
+        loop {
+            let news = std::mem::take(&mut self.world.news);
+            let asks = std::mem::take(&mut self.clients.asks);
+            let undone = std::mem::take(&mut self.clients.undone);
+            if news.is_empty() && asks.is_empty() && undone.is_empty() {
+                return Ok(());
+            }
+            for n in news {
+                self.on_news(n)?;
+            }
+            for a in asks {
+                self.on_ask(&a)?;
+            }
+            for ask in undone {
+                let Some((token, tag)) = self.asked.remove(&ask) else { continue };
+                let mut out = Vec::new();
+                array(&mut out, 2);
+                bulk(&mut out, b"UNDO");
+                bulk(&mut out, tag.to_string().as_bytes());
+                if let Some(Conn { role: Role::Client { open, .. }, .. }) = self.conns.get_mut(&token) {
+                    open.remove(&tag);
+                }
+                self.write(token, &out);
+            }
+        }
+    }
+
+    fn on_news(&mut self, news: News) -> io::Result<()> {
+        match news {
+            News::Answer(call, word, bytes) => {
+                let Some((token, id)) = self.calls.remove(&call) else { return Ok(()) };
+                if let Some(Conn { role: Role::Shelf { open, .. }, .. }) = self.conns.get_mut(&token) {
+                    open.remove(&id);
+                }
+                let (said, fields) = match word {
+                    Word::Data(dated) => (&b"data"[..], format!("digest={dated:x},dated={}", dated / MS)),
+                    Word::Absent => (&b"absent"[..], String::new()),
+                    Word::Full => (&b"full"[..], String::new()),
+                    Word::Failed => (&b"failed"[..], String::new()),
+                };
+                let mut out = Vec::new();
+                array(&mut out, 4);
+                bulk(&mut out, &id);
+                bulk(&mut out, said);
+                bulk(&mut out, fields.as_bytes());
+                hollymux_wire::resp::bulk_head(&mut out, bytes as usize);
+                let mut left = bytes as usize;
+                while left > 0 {
+                    let n = left.min(ZEROS.len());
+                    out.extend_from_slice(&ZEROS[..n]);
+                    left -= n;
+                }
+                out.extend_from_slice(b"\r\n");
+                self.write(token, &out);
+            }
+            News::Stands(server, stand) => self.on_stand(server, stand)?,
+            News::Line(server, state) => {
+                let text = line(&self.day, &self.world.servers[server], self.endpoints[server], state);
+                let lag = crate::news_lag(&self.day, self.now - self.unix);
+                if state == "draining" {
+                    self.world.told_drain(server, self.now + lag);
+                }
+                self.tell(lag, |n| {
+                    format!("{{\"n\":{n},\"members\":{{\"rev\":{n},\"all\":false,\"targets\":[{text}]}}}}")
+                });
+            }
+            News::Purge(object, group, at) => {
+                self.tell(PURGE_TOLD, |n| crate::purge_event(n, object, group, at));
+            }
+        }
+        Ok(())
+    }
+
+    fn on_stand(&mut self, server: usize, stand: Stand) -> io::Result<()> {
+        let of = |c: &Conn| matches!(&c.role, Role::Shelf { server: s, .. } if *s == server);
+        let listens = |c: &Conn| matches!(&c.role, Role::Listener(_, s) if *s == server);
+        let mine: Vec<usize> = self.conns.iter().filter(|(_, c)| of(c)).map(|(t, _)| *t).collect();
+        let listener = self.conns.iter().find(|(_, c)| listens(c)).map(|(t, _)| *t);
+        match stand {
+            Stand::Down => {
+                mine.into_iter().for_each(|t| self.close(t));
+                // Connections are refused from here on.
+                listener.map(|t| self.conns.remove(&t));
+            }
+            Stand::Cut => {
+                for token in mine {
+                    if let Some(conn) = self.conns.get_mut(&token) {
+                        conn.mute = true;
+                    }
+                }
+            }
+            Stand::Up => {
+                // What was silent is reset when the machine is back.
+                let mute: Vec<usize> =
+                    self.conns.iter().filter(|(_, c)| of(c) && c.mute).map(|(t, _)| *t).collect();
+                mute.into_iter().for_each(|t| self.close(t));
+                if listener.is_none() {
+                    let listener = TcpListener::bind(self.endpoints[server])?;
+                    self.put(Role::Listener(listener, server), None)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn accept(listener: &TcpListener) -> Vec<TcpStream> {
+    std::iter::from_fn(|| listener.accept().ok().map(|a| a.0)).collect()
+}
--- /dev/null
+++ b/crates/lab/src/virtually.rs
@@ -0,0 +1,415 @@
+//! A day in virtual time: the same servers and clients, round the routers' sans-I/O cores, without sockets. The
+//! same seed gives the same day, to the byte.
+
+use crate::day::Day;
+use crate::load::{Ask, Clients, Done, Got};
+use crate::platform::{config, line, seats, Seat};
+use crate::report::Counted;
+use crate::world::{secs, Call, News, Stand, Word, World, PURGE_TOLD};
+use hollymux_core::chain::Pool;
+use hollymux_core::{
+    AttemptId, Client, Command, Ended, Input, Lost, Member, Order, Reply, Router, Said, Told, Wake,
+};
+use hollymux_decide::{HostId, Time, MS, SEC};
+use hollymux_node::config::Config;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A message takes this long from one party to another.
+const WAY: Time = 300;
+/// A connection that nothing answers is given up after this.
+const DIAL: Time = 400 * MS;
+/// When a day in virtual time starts, in microseconds of Unix time.
+pub const START: Time = 1_760_000_000 * SEC;
+/// Buffers of a router, as many as a small machine's.
+const BUFFERS: usize = 4_096;
+
+/// What a day came to.
+#[derive(Debug)]
+pub struct Played {
+    /// When it started.
+    pub start: Time,
+    /// What became of each first try.
+    pub done: Vec<Done>,
+    /// The servers.
+    pub world: World,
+    /// What was counted beside.
+    pub counted: Counted,
+}
+
+enum Event {
+    Core(usize, Wake),
+    Arrive(usize, Box<Order>),
+    Said(u64, Word, u64),
+    Lost(usize, AttemptId, Lost),
+    Probe(usize, HostId, Option<bool>),
+    /// News of members, from the control feed; the text is that of the sockets.
+    Told(usize, String),
+}
+
+struct Timed(Time, u64, Event);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Timed) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Timed) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Timed) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// A call that is out at a server.
+struct Out {
+    router: usize,
+    attempt: AttemptId,
+    server: usize,
+    write: bool,
+}
+
+struct Lab<'a> {
+    day: Day,
+    now: Time,
+    world: World,
+    clients: Clients,
+    routers: Vec<Router>,
+    configs: Vec<Config>,
+    pool: Pool,
+    events: BinaryHeap<Reverse<Timed>>,
+    seq: u64,
+    calls: BTreeMap<u64, Out>,
+    by_attempt: HashMap<(usize, AttemptId), u64>,
+    next_call: u64,
+    open: HashMap<u64, usize>,
+    told: u64,
+    counted: Counted,
+    ended: &'a mut dyn FnMut(Seat, &Heard<'_>),
+}
+
+/// What a recording of a router holds: what it closed, and what it was told.
+pub enum Heard<'a> {
+    /// A request was closed.
+    Ended(&'a Ended),
+    /// Members changed.
+    Members(Time, &'a [Member]),
+    /// Something was purged.
+    Purge(Time, Option<u64>, u32),
+}
+
+/// The address that stands for a server.
+fn endpoint(server: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + server as u16))
+}
+
+fn server_at(addr: SocketAddr) -> usize {
+    usize::from(addr.port()) - 10_000
+}
+
+/// Plays a day. What routers close and are told goes to `ended` as it happens.
+///
+/// # Errors
+/// A router can't work under the day's settings.
+pub fn play(day: &Day, seed: u64, ended: &mut dyn FnMut(Seat, &Heard<'_>)) -> Result<Played, String> {
+    let world = World::new(day, START, seed);
+    let clients = Clients::new(day, START, seed);
+    let endpoints: Vec<SocketAddr> = (0..world.servers.len()).map(endpoint).collect();
+    let (mut routers, mut configs, mut known) = (Vec::new(), Vec::new(), Vec::new());
+    for seat in seats(day) {
+        let text = config(day, &world, seat, seed, endpoint(0), &endpoints).to_string();
+        let mut config = Config::read(&text).map_err(|e| e.to_string())?;
+        known.push(std::mem::take(&mut config.known.1));
+        routers.push(Router::new(config.setup(), false).map_err(|e| e.to_string())?);
+        configs.push(config);
+    }
+    let mut lab = Lab {
+        day: day.clone(),
+        now: START,
+        world,
+        clients,
+        routers,
+        configs,
+        pool: Pool::new(BUFFERS),
+        events: BinaryHeap::new(),
+        seq: 0,
+        calls: BTreeMap::new(),
+        by_attempt: HashMap::new(),
+        next_call: 1,
+        open: HashMap::new(),
+        told: 1,
+        counted: Counted::default(),
+        ended,
+    };
+    for (router, told) in known.into_iter().enumerate() {
+        told.into_iter().for_each(|t| lab.tell(router, t));
+    }
+    lab.run();
+    Ok(Played { start: START, done: lab.clients.done, world: lab.world, counted: lab.counted })
+}
+
+impl Lab<'_> {
+    fn at(&mut self, at: Time, event: Event) {
+        self.seq += 1;
+        self.events.push(Reverse(Timed(at.max(self.now), self.seq, event)));
+    }
+
+    fn run(&mut self) {
+        let end = START + secs(self.day.seconds);
+        let counts = START + secs(self.day.warm_s);
+        let mut counting = false;
+        loop {
+            let own = self.events.peek().map(|Reverse(t)| t.0);
+            let next = [own, self.world.due(), self.clients.due()].into_iter().flatten().min();
+            let Some(next) = next.filter(|_| self.now < end || self.clients.waiting()) else { break };
+            if !counting && next >= counts {
+                counting = true;
+                self.world.count_from(counts);
+            }
+            if self.now < end && next >= end {
+                // What is used is counted while load is offered.
+                self.world.advance(end);
+                self.world.stop_counting();
+            }
+            self.now = next;
+            self.world.advance(next);
+            self.clients.advance(next);
+            while self.events.peek().is_some_and(|Reverse(t)| t.0 <= next) {
+                if let Some(Reverse(Timed(_, _, event))) = self.events.pop() {
+                    self.on_event(event);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn settle(&mut self) {
+        loop {
+            let news = std::mem::take(&mut self.world.news);
+            let asks = std::mem::take(&mut self.clients.asks);
+            let undone = std::mem::take(&mut self.clients.undone);
+            if news.is_empty() && asks.is_empty() && undone.is_empty() {
+                break;
+            }
+            news.into_iter().for_each(|n| self.on_news(n));
+            asks.into_iter().for_each(|a| self.on_ask(&a));
+            for id in undone {
+                if let Some(router) = self.open.remove(&id) {
+                    self.feed(router, Input::Undo(Client { conn: 1, tag: id }));
+                }
+            }
+        }
+    }
+
+    fn on_ask(&mut self, ask: &Ask) {
+        let router = self.day.offices[..ask.office].iter().map(|o| o.routers).sum::<usize>() + ask.router;
+        let word = |n: u64| (format!("{n:016x}").into_bytes(), n);
+        let asked = hollymux_core::Ask {
+            rid: word(ask.rid),
+            class: self.day.classes[ask.class].name.clone().into_bytes(),
+            object: word(ask.key.0),
+            part: ask.key.1,
+            group: ask.group,
+            budget: ask.budget_ms,
+            held: None,
+            body: self.pool.chain(),
+        };
+        self.open.insert(ask.id, router);
+        self.feed(router, Input::Ask(Client { conn: 1, tag: ask.id }, asked));
+    }
+
+    fn tell(&mut self, router: usize, told: Told) {
+        let now = self.now;
+        let seat = seats(&self.day)[router];
+        match &told {
+            Told::Members { lines, .. } => (self.ended)(seat, &Heard::Members(now, lines)),
+            Told::Purge { object, group, .. } => (self.ended)(seat, &Heard::Purge(now, *object, *group)),
+        }
+        self.feed(router, Input::Told(told));
+    }
+
+    /// Hands a router one input and carries out what it wants, as the driver on sockets does.
+    fn feed(&mut self, router: usize, input: Input) {
+        let mut inbox = VecDeque::from([input]);
+        let mut commands = Vec::new();
+        while let Some(input) = inbox.pop_front() {
+            self.routers[router].handle(self.now, input, &mut commands);
+            for command in std::mem::take(&mut commands) {
+                self.carry_out(router, command, &mut inbox);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, router: usize, command: Command, inbox: &mut VecDeque<Input>) {
+        match command {
+            Command::Send(order) => self.at(self.now + WAY, Event::Arrive(router, Box::new(order))),
+            Command::Quit(attempt) => {
+                if let Some(id) = self.by_attempt.remove(&(router, attempt)) {
+                    self.calls.remove(&id);
+                    self.world.quit(self.now, id);
+                }
+            }
+            Command::Reply(client, reply) => {
+                if self.open.remove(&client.tag).is_none() {
+                    self.counted.answers_wrong += 1;
+                    return;
+                }
+                let got = match reply {
+                    Reply::Good(digest, _) => Got::Served(age(self.now, digest.as_deref())),
+                    Reply::Unchanged(_) => Got::Served(0),
+                    Reply::Refused(ms) => Got::Refused(ms * MS),
+                    Reply::Failed => Got::Failed,
+                };
+                self.clients.answered(self.now, client.tag, got);
+            }
+            Command::Wake(at, wake) => self.at(at, Event::Core(router, wake)),
+            Command::Probe(host, addr) => {
+                let server = server_at(addr);
+                let (after, well) = match self.world.servers[server].stand {
+                    Stand::Up => (2 * WAY, Some(self.world.well(server))),
+                    Stand::Down => (2 * WAY, None),
+                    Stand::Cut => (DIAL, None),
+                };
+                self.at(self.now + after, Event::Probe(router, host, well));
+            }
+            Command::Drop(host) => {
+                let of = |uid: &str| hollymux_core::host_id(uid) == host;
+                let server = self.world.servers.iter().position(|s| of(&s.uid));
+                let gone = self.calls.iter().filter(|(_, o)| o.router == router && Some(o.server) == server);
+                let gone: Vec<u64> = gone.map(|(id, _)| *id).collect();
+                for id in gone {
+                    if let Some(out) = self.calls.remove(&id) {
+                        self.by_attempt.remove(&(router, out.attempt));
+                        self.world.quit(self.now, id);
+                        inbox.push_back(Input::Lost(out.attempt, Lost::Broken));
+                    }
+                }
+            }
+            Command::Ended(ended) => (self.ended)(seats(&self.day)[router], &Heard::Ended(&ended)),
+            Command::Hold(_) | Command::Look(..) | Command::Tried(..) | Command::Log(_) => {}
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Core(router, wake) => self.feed(router, Input::Wake(wake)),
+            Event::Arrive(router, order) => self.arrive(router, &order),
+            Event::Said(id, word, bytes) => {
+                let Some(out) = self.calls.remove(&id) else { return };
+                self.by_attempt.remove(&(out.router, out.attempt));
+                let said = self.said(word, bytes, out.write);
+                self.feed(out.router, Input::Said(out.attempt, said));
+            }
+            Event::Lost(router, attempt, lost) => self.feed(router, Input::Lost(attempt, lost)),
+            Event::Probe(router, host, well) => self.feed(router, Input::Probed(host, well)),
+            Event::Told(router, text) => {
+                if let Ok((_, Some(told))) = self.configs[router].names.event(text.as_bytes()) {
+                    self.tell(router, told);
+                }
+            }
+        }
+    }
+
+    fn said(&self, word: Word, bytes: u64, write: bool) -> Said {
+        match word {
+            Word::Data(dated) => {
+                let mut body = self.pool.chain();
+                let zeros = [0u8; 4_096];
+                let mut left = bytes as usize;
+                while left > 0 && body.extend(&zeros[..left.min(zeros.len())]).is_ok() {
+                    left -= left.min(zeros.len());
+                }
+                Said::Data((!write).then(|| format!("{dated:x}").into_bytes()), body)
+            }
+            Word::Absent => Said::Absent,
+            Word::Full => Said::Full,
+            Word::Failed => Said::Failed,
+        }
+    }
+
+    fn arrive(&mut self, router: usize, order: &Order) {
+        let server = server_at(order.target.addr);
+        match self.world.servers[server].stand {
+            Stand::Up => {}
+            Stand::Down => {
+                return self.at(self.now + WAY, Event::Lost(router, order.attempt, Lost::Refused));
+            }
+            Stand::Cut => return,
+        }
+        let id = self.next_call;
+        self.next_call += 1;
+        self.counted.attempts += 1;
+        let write = self.day.classes[usize::from(order.class)].write;
+        self.calls.insert(id, Out { router, attempt: order.attempt, server, write });
+        self.by_attempt.insert((router, order.attempt), id);
+        let f = &order.target.fill;
+        let source = order.target.source.as_ref();
+        let known = source.and_then(|uid| self.world.servers.iter().position(|s| s.uid == **uid));
+        if source.is_some() && known.is_none() {
+            // It names what is gone.
+            return self.world.news.push(News::Answer(id, Word::Full, 0));
+        }
+        let class = usize::from(order.class);
+        let key = (order.ask.object.1, order.ask.part);
+        let call = Call {
+            class,
+            key,
+            group: order.ask.group,
+            bytes: self.clients.objects.bytes(class, key),
+            rid: order.ask.rid.1,
+            accept: f.max_age,
+            keep: f.keep,
+            source: known,
+            join: f.join,
+        };
+        self.world.call(self.now, id, server, call);
+    }
+
+    fn on_news(&mut self, news: News) {
+        match news {
+            News::Answer(id, word, bytes) => self.at(self.now + WAY, Event::Said(id, word, bytes)),
+            News::Stands(server, Stand::Down) => {
+                let hit: Vec<u64> =
+                    self.calls.iter().filter(|(_, o)| o.server == server).map(|(id, _)| *id).collect();
+                for id in hit {
+                    if let Some(out) = self.calls.remove(&id) {
+                        self.by_attempt.remove(&(out.router, out.attempt));
+                        self.at(self.now + WAY, Event::Lost(out.router, out.attempt, Lost::Broken));
+                    }
+                }
+            }
+            News::Stands(..) => {}
+            News::Line(server, state) => {
+                let text = line(&self.day, &self.world.servers[server], endpoint(server), state);
+                self.told += 1;
+                let n = self.told;
+                let text =
+                    format!("{{\"n\":{n},\"members\":{{\"rev\":{n},\"all\":false,\"targets\":[{text}]}}}}");
+                let at = self.now + crate::news_lag(&self.day, self.now - START);
+                if state == "draining" {
+                    self.world.told_drain(server, at);
+                }
+                (0..self.routers.len()).for_each(|r| self.at(at, Event::Told(r, text.clone())));
+            }
+            News::Purge(object, group, at) => {
+                self.told += 1;
+                let text = crate::purge_event(self.told, object, group, at);
+                let when = self.now + PURGE_TOLD;
+                (0..self.routers.len()).for_each(|r| self.at(when, Event::Told(r, text.clone())));
+            }
+        }
+    }
+}
+
+/// How old a copy is, by its tag, which the laboratory's servers make from its date.
+pub fn age(now: Time, digest: Option<&[u8]>) -> Time {
+    let dated =
+        digest.and_then(|d| std::str::from_utf8(d).ok()).and_then(|d| Time::from_str_radix(d, 16).ok());
+    dated.map_or(0, |d| now.saturating_sub(d))
+}
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,79 @@
+//! Days in virtual time: the same seed gives the same day, the rules hold under every fault, and what can't be
+//! played is refused field by field.
+
+use hollymux_lab::day::Day;
+use hollymux_lab::report::{report, Report};
+use hollymux_lab::virtually::play;
+use hollymux_settings::Fault;
+
+const FLEET: &str = r#"
+ seconds: 40, warm_s: 8, rate_per_s: 110, purges_per_s: 1,
+ offices: [{name: "cairo", hub: "north", boxes: 4, routers: 2, link_in_flows: 18},
+           {name: "luxor", hub: "south", boxes: 3, routers: 1, link_in_flows: 14}],
+ hubs: [{name: "north", link_flows: 16}, {name: "south", link_flows: 16}],"#;
+
+fn day(faults: &str) -> Day {
+    hollymux_settings::read(&format!("{{{FLEET} faults: [{faults}]}}")).expect("a day")
+}
+
+fn played(day: &Day, seed: u64) -> Report {
+    let p = play(day, seed, &mut |_, _| {}).expect("the day is played");
+    assert!(p.done.len() > 3_000, "{} requests", p.done.len());
+    report(day, p.start, &p.done, &p.world, &p.counted)
+}
+
+#[test]
+fn the_same_seed_gives_the_same_day_to_the_byte() {
+    let day = day("{at_s: 15, for_s: 8, what: {crash: {who: 'cairo-2'}}}");
+    let first = played(&day, 7).json();
+    assert_eq!(first, played(&day, 7).json());
+    assert_ne!(first, played(&day, 8).json());
+}
+
+#[test]
+fn no_rule_is_broken_whatever_fails() {
+    let faults = [
+        "",
+        "{at_s: 12, for_s: 10, what: {crash: {who: 'north'}}}",
+        "{at_s: 12, what: {replace: {who: 'luxor-1'}}}",
+        "{at_s: 12, for_s: 12, what: {drain: {who: 'cairo-1'}}}, {at_s: 10, for_s: 10, what: {late: {by_ms: 4000}}}",
+        "{at_s: 12, for_s: 10, what: {cut: {who: 'cairo-3'}}}, {at_s: 20, for_s: 6, what: {slow: {who: 'south', part: 0.3}}}",
+        "{at_s: 10, for_s: 12, what: {crowd: {part: 0.3, objects: 2}}}",
+        "{at_s: 10, for_s: 12, what: {large: {class: 'training-video', part: 0.02, times: 20}}}",
+        "{at_s: 10, for_s: 20, what: {surge: {times: 2.5}}}",
+        "{at_s: 12, for_s: 6, what: {crash: {who: 'library'}}}",
+    ];
+    for (i, f) in faults.iter().enumerate() {
+        let r = played(&day(f), 3);
+        assert!(r.broken.is_empty(), "{f}: {:?}", r.broken);
+        // What fails must show, and nothing else: a calm day is served.
+        assert!(i > 0 || r.served_worth > 0.97, "calm: {}", r.served_worth);
+    }
+}
+
+#[test]
+fn more_load_and_fewer_hubs_cost_worth() {
+    let calm = played(&day(""), 5).served_worth;
+    let surge = played(&day("{at_s: 9, what: {surge: {times: 3}}}"), 5).served_worth;
+    let hub = played(&day("{at_s: 9, what: {crash: {who: 'north'}}}"), 5).served_worth;
+    assert!(surge < calm - 0.1 && hub < calm, "calm {calm}, surge {surge}, without a hub {hub}");
+}
+
+#[test]
+fn a_day_that_cant_be_played_is_refused_field_by_field() {
+    let text = r#"{seconds: 10, warm_s: 20, offices: [{name: "a", hub: "x", link_in_flows: 0, boxes: 0}],
+ hubs: [{name: "library", link_flows: 1}], faults: [{at_s: 1, what: {drain: {who: "a-9"}}}]}"#;
+    let faults = hollymux_settings::read::<Day>(text).unwrap_err();
+    let fields: Vec<&str> = faults.iter().map(|f: &Fault| f.field.as_str()).collect();
+    assert_eq!(
+        fields,
+        [
+            "warm_s",
+            "offices[0].hub",
+            "offices[0].link_in_flows",
+            "offices[0].boxes",
+            "hubs[0].name",
+            "faults[0].who"
+        ]
+    );
+}
