Record the load that a router serves, in checksummed blocks that survive damage

Need: a planner works from the requests themselves, their objects and times; the log is no place to keep them.

The driver hands it each closed request and what the control feed told.

--- a/crates/hollymux/src/lab.rs
+++ b/crates/hollymux/src/lab.rs
@@ -2,10 +2,17 @@
 
 use crate::{put, Fail};
 use hollymux_lab::day::Day;
+use hollymux_lab::platform::Seat;
 use hollymux_lab::report::report;
+use hollymux_lab::virtually::Heard;
 use hollymux_lab::{sockets, virtually};
+use hollymux_record::{Head, Recorder, Sink};
 use std::path::PathBuf;
 
+/// Recordings of days in virtual time: files of this size, this many for each router.
+const FILE_BYTES: u64 = 64 << 20;
+const FILES: usize = 64;
+
 #[derive(clap::Subcommand)]
 pub enum Command {
     /// Play a day and tell what it came to; it ends by itself
@@ -28,6 +35,9 @@
     /// Write report.html, report.json and the routers' logs into this folder
     #[arg(long, value_name = "DIR")]
     report: Option<PathBuf>,
+    /// Record the routers' load into this folder, as input for a plan
+    #[arg(long, value_name = "DIR")]
+    record: Option<PathBuf>,
     /// Print the figures as JSON
     #[arg(long)]
     json: bool,
@@ -45,12 +55,12 @@
     }
     let scratch = tempfile::tempdir().map_err(Fail::ran)?;
     let played = if options.virtually {
-        virtually::play(&day, options.seed, &mut |_, _| {}).map_err(Fail::ran)?
+        virtual_day(&day, &options)?
     } else {
         let start = sockets::Start {
             program: std::env::current_exe().map_err(Fail::ran)?,
             dir: kept.map_or(scratch.path(), PathBuf::as_path).to_path_buf(),
-            operator: None,
+            record: options.record.as_ref().map(std::path::absolute).transpose().map_err(Fail::ran)?,
         };
         sockets::play(&day, options.seed, &start).map_err(Fail::ran)?
     };
@@ -66,3 +76,25 @@
         false => Err(Fail::ran("rules were broken")),
     }
 }
+
+/// Plays in virtual time, each router's load going to a recording of its own where that is wanted.
+fn virtual_day(day: &Day, options: &Run) -> Result<virtually::Played, Fail> {
+    let mut recorders = Vec::new();
+    if let Some(dir) = &options.record {
+        for (name, config) in virtually::configs(day, options.seed).map_err(Fail::ran)? {
+            let n = &config.names;
+            let head = Head::new(&name, &n.zones, &n.kinds, &n.classes, &config.settings);
+            let sink = Sink::new(dir, head, FILE_BYTES, FILES).map_err(Fail::ran)?;
+            recorders.push(Recorder::patient(sink).map_err(Fail::ran)?);
+        }
+    }
+    let mut heard = |seat: Seat, heard: &Heard<'_>| {
+        let Some(recorder) = recorders.get_mut(seat.number) else { return };
+        match heard {
+            Heard::Ended(ended) => recorder.request(ended),
+            Heard::Members(now, lines) => recorder.members(*now, lines),
+            Heard::Purge(now, object, group) => recorder.purge(*now, *object, *group),
+        }
+    };
+    virtually::play(day, options.seed, &mut heard).map_err(Fail::ran)
+}
--- a/crates/hollymux/src/main.rs
+++ b/crates/hollymux/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod lab;
 mod logs;
+mod record;
 mod serve;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -21,6 +22,7 @@
   hollymux serve --operator deploy/operator.json5         serve, with what the operator switched on
   hollymux check deploy/operator.json5                    tell every fault of an operator's file
   hollymux lab run examples/day.json5 --report out        play a day on loopback, with a page of plots
+  hollymux record info load/*.hmxload                     what a recording holds, and what is missing
   hollymux completions bash > hollymux.bash               completions for a shell
 
 Exit codes: 0 done, 1 ran and failed, 2 called wrongly or given what can't be used.";
@@ -46,6 +48,11 @@
         #[command(subcommand)]
         command: lab::Command,
     },
+    /// Read recorded load
+    Record {
+        #[command(subcommand)]
+        command: record::Command,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -92,6 +99,7 @@
         Command::Serve(options) => logs::start(&line.logs).and_then(|()| serve::run(&options)),
         Command::Check(options) => check::run(&options),
         Command::Lab { command } => lab::run(command),
+        Command::Record { command } => record::run(command),
         Command::Completions { shell } => {
             let mut text = Vec::new();
             clap_complete::generate(shell, &mut Line::command(), "hollymux", &mut text);
--- a/crates/hollymux/tests/lab.rs
+++ b/crates/hollymux/tests/lab.rs
@@ -14,9 +14,12 @@
           faults: [{at_s: 2, for_s: 1, what: {crash: {who: 'a-1'}}}, {at_s: 1, for_s: 2, what: {cut: {who: 'h'}}}]}",
     );
     let dir = day.parent().unwrap().join("out");
-    let (day, out) = (day.to_str().unwrap(), dir.to_str().unwrap());
+    let recorded = day.parent().unwrap().join("load");
+    let (day, out, load) = (day.to_str().unwrap(), dir.to_str().unwrap(), recorded.to_str().unwrap());
     let done =
-        command(std::path::Path::new(""), &["lab", "run", day, "--json", "--report", out]).output().unwrap();
+        command(std::path::Path::new(""), &["lab", "run", day, "--json", "--report", out, "--record", load])
+            .output()
+            .unwrap();
     let report: serde_json::Value =
         serde_json::from_slice(&std::fs::read(dir.join("report.json")).unwrap()).unwrap();
     let asked: u64 = report["classes"].as_array().unwrap().iter().map(|c| c["asked"].as_u64().unwrap()).sum();
@@ -29,4 +32,20 @@
     // A broken rule is exit code 1, and is in the report.
     let broken = report["broken"].as_object().unwrap().is_empty();
     assert_eq!(done.status.code(), Some(if broken { 0 } else { 1 }), "{report}");
+    // The router's recording holds what it was asked, and nothing is missing from it.
+    let files: Vec<String> = std::fs::read_dir(&recorded)
+        .unwrap()
+        .map(|e| e.unwrap().path().to_str().unwrap().to_string())
+        .collect();
+    let mut args = vec!["record", "info", "--json"];
+    args.extend(files.iter().map(String::as_str));
+    let info =
+        command(std::path::Path::new(""), &args).stdout(std::process::Stdio::piped()).output().unwrap();
+    let info: serde_json::Value = serde_json::from_slice(&info.stdout).unwrap();
+    assert!(info["requests"].as_u64().unwrap() >= asked, "{info}");
+    assert_eq!((&info["offices"][0], &info["dropped"]), (&"a".into(), &0.into()));
+    assert!(
+        info["member_lines"].as_u64().unwrap() >= 4 && info["boxes"]["s-a-2"].as_u64().unwrap() > 0,
+        "{info}"
+    );
 }
--- a/crates/hollymux/tests/line.rs
+++ b/crates/hollymux/tests/line.rs
@@ -22,7 +22,7 @@
     hollymux: FILE:3:11: dns.zone: is no domain name
     hollymux: FILE:4:12: dns.lisen: unknown field `lisen`, expected one of `zone`, `listen`, `follow`
     hollymux: FILE:5:13: dns.follow: invalid socket address syntax
-    hollymux: FILE:7:8: dsn: unknown field `dsn`, expected `dns`
+    hollymux: FILE:7:8: dsn: unknown field `dsn`, expected `dns` or `record`
     ");
 }
 
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -40,8 +40,8 @@
     pub program: PathBuf,
     /// Where configurations and logs are put.
     pub dir: PathBuf,
-    /// The text of each router's operator's file, by its number; none: routers have none.
-    pub operator: Option<fn(&Path, usize) -> String>,
+    /// Where the routers record their load; none: they don't.
+    pub record: Option<PathBuf>,
 }
 
 /// A router process; it ends with this value.
@@ -153,8 +153,7 @@
     lab.clients = Clients::new(day, lab.unix, seed);
     lab.run()?;
     let start = lab.unix;
-    let nodes = std::mem::take(&mut lab.nodes);
-    drop(nodes);
+    finish(std::mem::take(&mut lab.nodes));
     Ok(Played { start, done: lab.clients.done, world: lab.world, counted: lab.counted })
 }
 
@@ -167,9 +166,9 @@
     std::fs::write(&path, config)?;
     let mut command = Command::new(&start.program);
     command.arg("serve").arg("--config").arg(&path).arg("--with-parent");
-    if let Some(text) = start.operator {
+    if let Some(dir) = &start.record {
         let operator = start.dir.join(format!("n{}.operator.json5", number + 1));
-        std::fs::write(&operator, text(&start.dir, number))?;
+        std::fs::write(&operator, serde_json::json!({"record": {"dir": dir}}).to_string())?;
         command.arg("--operator").arg(&operator);
     }
     let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
@@ -192,6 +191,18 @@
     Ok(node)
 }
 
+/// Lets routers end by themselves, so that their recordings are whole; who takes too long is ended.
+fn finish(mut nodes: Vec<Node>) {
+    for node in &nodes {
+        let pid = i32::try_from(node.child.id()).ok().and_then(rustix::process::Pid::from_raw);
+        pid.map(|p| rustix::process::kill_process(p, rustix::process::Signal::TERM));
+    }
+    let until = Instant::now() + READY;
+    while Instant::now() < until && nodes.iter_mut().any(|n| matches!(n.child.try_wait(), Ok(None))) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Ticks of processor time that a process has used.
 fn ticks(pid: u32) -> u64 {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -113,6 +113,20 @@
     usize::from(addr.port()) - 10_000
 }
 
+/// The configurations of a day's routers, with their names.
+///
+/// # Errors
+/// One can't be used.
+pub fn configs(day: &Day, seed: u64) -> Result<Vec<(String, Config)>, String> {
+    let world = World::new(day, START, seed);
+    let endpoints: Vec<SocketAddr> = (0..world.servers.len()).map(endpoint).collect();
+    let one = |seat: Seat| {
+        let text = config(day, &world, seat, seed, endpoint(0), &endpoints).to_string();
+        Config::read(&text).map(|c| (c.name.clone(), c)).map_err(|e| e.to_string())
+    };
+    seats(day).into_iter().map(one).collect()
+}
+
 /// Plays a day. What routers close and are told goes to `ended` as it happens.
 ///
 /// # Errors
@@ -120,11 +134,8 @@
 pub fn play(day: &Day, seed: u64, ended: &mut dyn FnMut(Seat, &Heard<'_>)) -> Result<Played, String> {
     let world = World::new(day, START, seed);
     let clients = Clients::new(day, START, seed);
-    let endpoints: Vec<SocketAddr> = (0..world.servers.len()).map(endpoint).collect();
     let (mut routers, mut configs, mut known) = (Vec::new(), Vec::new(), Vec::new());
-    for seat in seats(day) {
-        let text = config(day, &world, seat, seed, endpoint(0), &endpoints).to_string();
-        let mut config = Config::read(&text).map_err(|e| e.to_string())?;
+    for (_, mut config) in self::configs(day, seed)? {
         known.push(std::mem::take(&mut config.known.1));
         routers.push(Router::new(config.setup(), false).map_err(|e| e.to_string())?);
         configs.push(config);
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use hollymux_core::chain::Exhausted;
-use hollymux_core::{Client, Reply, Why};
+use hollymux_core::{unopened, Ask, Client, Closed, Reply, Wanted, Why};
 use hollymux_wire::front::{self, Call, Tags};
 use hollymux_wire::resp::Decoder;
 use std::collections::BTreeMap;
@@ -140,7 +140,7 @@
                     let open = conn.owed.len() >= OPEN_MOST;
                     if open || self.pool.fuller_than(CROWDED) {
                         conn.waste += u32::from(open);
-                        debug!(request = 0, reason = ?Why::Crowded, "request refused unopened");
+                        self.crowded(&ask);
                         let wait = self.config.settings.max_retry_after / MS;
                         self.say(conn, tag, Reply::Refused(wait))
                     } else {
@@ -168,6 +168,16 @@
         }
     }
 
+    /// A request that is refused before the core sees it.
+    fn crowded(&mut self, ask: &Ask) {
+        let class = self.router.classes().iter().position(|c| c.0.as_bytes() == ask.class);
+        let Some(class) = class.and_then(|c| u16::try_from(c).ok()) else { return };
+        let rid = Some(ask.rid.1);
+        let wanted = Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid };
+        let ended = unopened(&wanted, self.now, ask.budget, Closed::Refused, Why::Crowded);
+        self.carry_out(ended);
+    }
+
     /// Takes back requests that were read but not handed on yet, so that nothing is sent for them; whether there
     /// was one.
     pub(super) fn unask(&mut self, whose: impl Fn(Client) -> bool) -> bool {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -28,6 +28,8 @@
 
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    name: String,
     listen: SocketAddr,
     seed: String,
     limits: Limits,
@@ -39,6 +41,8 @@
 /// Everything that a request router is told at its start.
 #[derive(Debug)]
 pub struct Config {
+    /// The router's name, the same after a restart.
+    pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// For random numbers.
@@ -127,6 +131,7 @@
         let streams = p.read("limits.streamsPerConn").map_err(|e| wrong(&e))?.unwrap_or(32);
         let idle = p.read("limits.idleClose").map_err(|e| wrong(&e))?.unwrap_or(30_000_000);
         Ok(Config {
+            name: file.name,
             listen: file.listen,
             seed,
             memory_mb: file.limits.memory_mb,
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -74,7 +74,7 @@
                 Ok((n, _)) if n <= self.feed_at => {}
                 Ok((n, told)) => {
                     self.feed_at = n;
-                    self.inbox.extend(told.map(Input::Told));
+                    told.into_iter().for_each(|t| self.tell(t));
                 }
                 Err(e) => warn!("control feed: {e}"),
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,8 +14,9 @@
 use dns::{DnsConn, Resolver};
 use feed::Feed;
 use hollymux_core::chain::{Chain, Pool, BUFFER};
-use hollymux_core::{AttemptId, Command, Ended, Input, Router, Wake};
+use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
 use hollymux_decide::{HostId, Time, MS};
+use hollymux_record::{Head, Recorder, Sink};
 use hollymux_wire::dns::Name;
 use operator::Operator;
 use rustix::event::epoll::{self, EventFlags};
@@ -193,6 +194,7 @@
     attempts: HashMap<AttemptId, Key>,
     shelf_conns: usize,
     operator: Operator,
+    recorder: Option<Recorder>,
     /// The zone of the DNS front; empty without one.
     zone: Name,
     resolver: Resolver,
@@ -224,7 +226,7 @@
             wheel: Wheel::new(now),
             places: Vec::new(),
             free: Vec::new(),
-            inbox: known.into_iter().map(Input::Told).collect(),
+            inbox: VecDeque::new(),
             commands: Vec::new(),
             listener: 0,
             paused: Vec::new(),
@@ -234,6 +236,7 @@
             shelf_conns: 0,
             resolver: Resolver::new(config.seed),
             zone: operator.dns.as_ref().map(|d| d.name()).unwrap_or_default(),
+            recorder: recorder(&operator, &config)?,
             operator,
             feed_at: config.known.0,
             feed_key: None,
@@ -250,6 +253,7 @@
             signal_hook::low_level::pipe::register(signal, sender)?;
             driver.place(Role::Signal(pipe, signal))?;
         }
+        known.into_iter().for_each(|told| driver.tell(told));
         driver.settle();
         let listener = TcpListener::bind(driver.config.listen)?;
         listener.set_nonblocking(true)?;
@@ -394,8 +398,22 @@
         }
     }
 
+    /// Hands on what the control feed told.
+    fn tell(&mut self, told: Told) {
+        if let Some(recorder) = &mut self.recorder {
+            match &told {
+                Told::Members { lines, .. } => recorder.members(self.now, lines),
+                Told::Purge { object, group, .. } => recorder.purge(self.now, *object, *group),
+            }
+        }
+        self.inbox.push_back(Input::Told(told));
+    }
+
     /// A request is closed: what there is to say of it.
-    fn ended(&self, e: &Ended) {
+    fn ended(&mut self, e: &Ended) {
+        if let Some(recorder) = &mut self.recorder {
+            recorder.request(e);
+        }
         let class = self.router.classes().get(usize::from(e.wanted.class)).map_or("", |c| c.0.as_str());
         debug!(
             request = e.request,
@@ -560,6 +578,15 @@
     }
 }
 
+/// What records the load, if the operator wants it recorded.
+fn recorder(operator: &Operator, config: &Config) -> io::Result<Option<Recorder>> {
+    let Some(r) = &operator.record else { return Ok(None) };
+    let names = &config.names;
+    let head = Head::new(&config.name, &names.zones, &names.kinds, &names.classes, &config.settings);
+    let sink = Sink::new(&r.dir, head, r.file_mb << 20, r.files)?;
+    Recorder::start(sink, r.queue).map(Some)
+}
+
 fn fd(role: &Role) -> rustix::fd::BorrowedFd<'_> {
     match role {
         Role::Listener(l) => l.as_fd(),
