Draw added load by Good and Turing's estimate; sizes of what never came; reasons in the lab's report

Cause, first: a viewing that was added kept its object whenever that had been viewed twice or more, which gives the weight of objects seen once to those seen oftener; now an object viewed r times stands for one viewed r - 1 times (Trace::scaled). Short recordings are drawn several times. Second: parts too large to come in time were never served, so their size was unknown and held to be usual; now it is at least what the longest wait could have brought (Trace::size). Ruled out: the placement (held against the module), the delays (fitted within 2 ms from load to load).

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -263,7 +263,9 @@
 
     /// Why it could not be served: how its last attempt ended, or that none could be made.
     fn why(&self) -> Why {
-        self.last.map_or(Why::NoHost, Why::Host)
+        // An attempt that is still out when the time is over was silent.
+        let silent = if self.attempts > 0 { Why::Host(Status::Timeout) } else { Why::NoHost };
+        self.last.map_or(silent, Why::Host)
     }
 }
 
--- a/crates/hollymux/src/lab.rs
+++ b/crates/hollymux/src/lab.rs
@@ -6,8 +6,9 @@
 use hollymux_lab::report::report;
 use hollymux_lab::virtually::Heard;
 use hollymux_lab::{sockets, virtually};
-use hollymux_record::{Head, Recorder, Sink};
-use std::path::PathBuf;
+use hollymux_record::{End, Head, Reason, Recorder, Request, Sink};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 
 /// Recordings of days in virtual time: files of this size, this many for each router.
 const FILE_BYTES: u64 = 64 << 20;
@@ -54,17 +55,22 @@
         std::fs::create_dir_all(dir).map_err(Fail::ran)?;
     }
     let scratch = tempfile::tempdir().map_err(Fail::ran)?;
+    let mut reasons = BTreeMap::new();
+    let record = options.record.clone().unwrap_or_else(|| scratch.path().join("load"));
     let played = if options.virtually {
-        virtual_day(&day, &options)?
+        virtual_day(&day, &options, &mut reasons)?
     } else {
         let start = sockets::Start {
             program: std::env::current_exe().map_err(Fail::ran)?,
             dir: kept.map_or(scratch.path(), PathBuf::as_path).to_path_buf(),
-            record: options.record.as_ref().map(std::path::absolute).transpose().map_err(Fail::ran)?,
+            record: std::path::absolute(&record).map_err(Fail::ran)?,
         };
-        sockets::play(&day, options.seed, &start).map_err(Fail::ran)?
+        let played = sockets::play(&day, options.seed, &start).map_err(Fail::ran)?;
+        told_reasons(&day, &record, played.start, &mut reasons)?;
+        played
     };
-    let report = report(&day, played.start, &played.done, &played.world, &played.counted);
+    let mut report = report(&day, played.start, &played.done, &played.world, &played.counted);
+    report.reasons = reasons;
     if let Some(dir) = kept {
         let page = report.html().map_err(Fail::ran)?;
         std::fs::write(dir.join("report.html"), page).map_err(Fail::ran)?;
@@ -77,8 +83,29 @@
     }
 }
 
+/// Requests that were not served, by class, end and reason.
+type Reasons = BTreeMap<String, u64>;
+
+fn count(day: &Day, reasons: &mut Reasons, class: usize, end: End, reason: Reason) {
+    if !matches!(end, End::Served | End::Unchanged | End::Named) {
+        let class = day.classes.get(class).map_or("", |c| c.name.as_str());
+        let name = format!("{class} {end:?} {reason:?}").to_lowercase();
+        *reasons.entry(name).or_default() += 1;
+    }
+}
+
+/// What the routers of a day on sockets recorded of why they did not serve.
+fn told_reasons(day: &Day, dir: &Path, start: u64, reasons: &mut Reasons) -> Result<(), Fail> {
+    let files = std::fs::read_dir(dir).map_err(Fail::ran)?.filter_map(Result::ok).map(|e| e.path());
+    let recording = hollymux_record::load(&files.collect::<Vec<_>>()).map_err(|e| Fail::ran(e.join("; ")))?;
+    // The folder may hold recordings of earlier days.
+    let rows = recording.rows.iter().filter(|r| r.arrived >= start);
+    rows.for_each(|r| count(day, reasons, usize::from(r.class), r.end, r.reason));
+    Ok(())
+}
+
 /// Plays in virtual time, each router's load going to a recording of its own where that is wanted.
-fn virtual_day(day: &Day, options: &Run) -> Result<virtually::Played, Fail> {
+fn virtual_day(day: &Day, options: &Run, reasons: &mut Reasons) -> Result<virtually::Played, Fail> {
     let mut recorders = Vec::new();
     if let Some(dir) = &options.record {
         for (name, config) in virtually::configs(day, options.seed).map_err(Fail::ran)? {
@@ -89,6 +116,10 @@
         }
     }
     let mut heard = |seat: Seat, heard: &Heard<'_>| {
+        if let Heard::Ended(e) = heard {
+            let r = Request::new(e, None, None);
+            count(day, reasons, usize::from(r.class), r.end, r.reason);
+        }
         let Some(recorder) = recorders.get_mut(seat.number) else { return };
         match heard {
             Heard::Ended(ended) => recorder.request(ended),
--- a/crates/hollymux/tests/plan.rs
+++ b/crates/hollymux/tests/plan.rs
@@ -76,7 +76,8 @@
 
 #[test]
 fn what_cant_be_read_ends_with_code_2_and_a_line_for_each_fault() {
-    let load = recorded(&day(30, ""));
+    // Enough requests for several blocks.
+    let load = recorded(&day(240, ""));
     let fleet = fleet(3);
     let fleet = fleet.to_str().unwrap();
     let bad = file(
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::day::Day;
 use crate::load::{Done, Got};
-use crate::world::{Broken, Use, World};
+use crate::world::{Broken, World};
 use hdrhistogram::Histogram;
 use hollymux_decide::{Time, SEC};
 use plotters::prelude::*;
@@ -63,6 +63,10 @@
     pub classes: Vec<ClassReport>,
     /// How much each resource was used, the most used first.
     pub used: Vec<(String, f64)>,
+    /// Bytes that each link carried after the warm-up.
+    pub carried: Vec<(String, f64)>,
+    /// Why routers served requests no bytes, by class, end and reason; from their recordings.
+    pub reasons: BTreeMap<String, u64>,
     /// Calls turned away, by server.
     pub turned_away: Vec<(String, u64)>,
     /// Rules broken.
@@ -100,8 +104,9 @@
         }
     });
     let classes: Vec<ClassReport> = classes.collect();
-    let mut used: Vec<(String, f64)> =
-        world.used().into_iter().map(|Use { name, part }| (name, part)).collect();
+    let all = world.used();
+    let carried = all.iter().filter_map(|u| Some((u.name.clone(), u.bytes?))).collect();
+    let mut used: Vec<(String, f64)> = all.into_iter().map(|u| (u.name, u.part)).collect();
     used.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
     let mut broken: BTreeMap<String, u64> = rules(&world.broken);
     if counted.answers_wrong > 0 {
@@ -126,6 +131,8 @@
         library_per_s: world.fetched as f64 / day.seconds,
         classes,
         used,
+        carried,
+        reasons: BTreeMap::new(),
         turned_away: world.turned_away(),
         broken,
         seconds,
@@ -183,6 +190,10 @@
         let used: Vec<String> =
             self.used.iter().take(6).map(|(n, p)| format!("{n} {:.0}%", p * 100.0)).collect();
         let _fits = writeln!(t, "most used: {}", used.join(", "));
+        if !self.reasons.is_empty() {
+            let all: Vec<String> = self.reasons.iter().map(|(why, n)| format!("{why} {n}")).collect();
+            let _fits = writeln!(t, "not served, by class, end and reason: {}", all.join(", "));
+        }
         if !self.turned_away.is_empty() {
             let all: u64 = self.turned_away.iter().map(|t| t.1).sum();
             let most = self.turned_away.iter().max_by_key(|t| t.1).map(|(n, c)| format!("{n} {c}"));
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -40,8 +40,8 @@
     pub program: PathBuf,
     /// Where configurations and logs are put.
     pub dir: PathBuf,
-    /// Where the routers record their load; none: they don't.
-    pub record: Option<PathBuf>,
+    /// Where the routers record their load.
+    pub record: PathBuf,
 }
 
 /// A router process; it ends with this value.
@@ -166,11 +166,9 @@
     std::fs::write(&path, config)?;
     let mut command = Command::new(&start.program);
     command.arg("serve").arg("--config").arg(&path).arg("--with-parent");
-    if let Some(dir) = &start.record {
-        let operator = start.dir.join(format!("n{}.operator.json5", number + 1));
-        std::fs::write(&operator, serde_json::json!({"record": {"dir": dir}}).to_string())?;
-        command.arg("--operator").arg(&operator);
-    }
+    let operator = start.dir.join(format!("n{}.operator.json5", number + 1));
+    std::fs::write(&operator, serde_json::json!({"record": {"dir": start.record}}).to_string())?;
+    command.arg("--operator").arg(&operator);
     let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
     let lines = BufReader::new(child.stderr.take().ok_or(ErrorKind::BrokenPipe)?);
     let (tx, said) = std::sync::mpsc::channel();
@@ -262,6 +260,7 @@
         let of = |(i, n): (usize, &Node)| crate::world::Use {
             name: format!("n{} core", i + 1),
             part: ticks(n.child.id()).saturating_sub(n.ticks) as f64 / per_s / span,
+            bytes: None,
         };
         let cores: Vec<_> = self.nodes.iter().enumerate().map(of).collect();
         self.world.also_used(cores);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -215,6 +215,8 @@
     pub name: String,
     /// The part of what it can do that was used, over the time that counts.
     pub part: f64,
+    /// Bytes carried, where it is a link.
+    pub bytes: Option<f64>,
 }
 
 /// When something was purged: an object, or a whole group.
@@ -419,22 +421,24 @@
         let n = self.engines.len();
         let mut all = Vec::new();
         for (i, (s, e)) in self.servers.iter().zip(&self.engines).enumerate() {
-            let link = (e.out.carried - self.base[i].0) / (e.rate * span);
-            all.push(Use { name: format!("{} link out", s.name), part: link });
+            let bytes = e.out.carried - self.base[i].0;
+            let (name, part) = (format!("{} link out", s.name), bytes / (e.rate * span));
+            all.push(Use { name, part, bytes: Some(bytes) });
             if s.kind == Kind::Library || matches!(s.kind, Kind::Box(_)) {
                 let cores = (e.worked - self.base[i].1) / 1e6 / (e.cores as f64 * span);
                 let what = if s.kind == Kind::Library { "workers" } else { "cores" };
-                all.push(Use { name: format!("{} {what}", s.name), part: cores });
+                all.push(Use { name: format!("{} {what}", s.name), part: cores, bytes: None });
             }
             if e.fills_most > 0 {
                 let part = e.fills_max as f64 / e.fills_most as f64;
-                all.push(Use { name: format!("{} fill places (most)", s.name), part });
+                all.push(Use { name: format!("{} fill places (most)", s.name), part, bytes: None });
             }
         }
         for (i, (o, inlet)) in self.day.offices.iter().zip(&self.inlets).enumerate() {
             let rate = o.link_in_flows * self.day.flow_bytes_per_s;
-            let part = (inlet.carried - self.base[n + i].0) / (rate * span);
-            all.push(Use { name: format!("{} link in", o.name), part });
+            let bytes = inlet.carried - self.base[n + i].0;
+            let (name, part) = (format!("{} link in", o.name), bytes / (rate * span));
+            all.push(Use { name, part, bytes: Some(bytes) });
         }
         all
     }
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -35,6 +35,59 @@
 /// Each box's loss is judged up to this many boxes; above, each office's largest.
 const BOXES_EACH: usize = 20;
 
+/// First tries over all draws of one load; a short recording is drawn several times, up to so many.
+const DRAWN: usize = 100_000;
+const DRAWS_MOST: usize = 6;
+
+/// One load, drawn and replayed several times where the recording is short: what is added to it is chance.
+struct Drawn {
+    /// In multiples of the recorded one.
+    load: f64,
+    runs: Vec<(Trace, Replay)>,
+    from: usize,
+}
+
+impl Drawn {
+    fn first(&self) -> &(Trace, Replay) {
+        &self.runs[0]
+    }
+
+    fn seconds(&self) -> Vec<Sum> {
+        let counted =
+            |r: &Replay| (self.from..r.seconds.len()).map(|s| r.over(s, s + 1)).collect::<Vec<Sum>>();
+        self.runs.iter().flat_map(|(_, r)| counted(r)).collect()
+    }
+
+    fn office(&self, office: usize) -> Vec<Sum> {
+        self.runs.iter().flat_map(|(_, r)| r.seconds.iter().skip(self.from).map(move |s| s[office])).collect()
+    }
+
+    fn class(&self, class: usize) -> Sum {
+        let mut sum = Sum::default();
+        self.runs.iter().for_each(|(_, r)| sum.add(&r.classes[class]));
+        sum
+    }
+
+    /// Use of a resource by second, one run after the other.
+    fn used(&self, resource: usize) -> Vec<f64> {
+        let of = |r: &Replay| r.used[resource].1.iter().skip(self.from).copied().collect::<Vec<f64>>();
+        self.runs.iter().flat_map(|(_, r)| of(r)).collect()
+    }
+
+    /// The most that is used of a resource over a stretch, on average of the runs.
+    fn busiest(&self, resource: usize) -> f64 {
+        self.mean(|r| busiest(&r.used[resource].1[self.from.min(r.used[resource].1.len())..]))
+    }
+
+    fn mean(&self, of: impl Fn(&Replay) -> f64) -> f64 {
+        self.runs.iter().map(|(_, r)| of(r)).sum::<f64>() / self.runs.len() as f64
+    }
+
+    fn runs_away(&self) -> bool {
+        2 * self.runs.iter().filter(|(_, r)| r.runs_away()).count() > self.runs.len()
+    }
+}
+
 /// What is asked.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -107,57 +160,58 @@
     let asked: Vec<Vec<Server>> = losses.collect::<Result<_, _>>()?;
 
     let none = Losses::default();
-    let runs: Vec<(f64, Trace, Replay)> = MULTIPLES
-        .par_iter()
-        .map(|m| {
-            let load = t.scaled(m * q.scale, q.seed);
-            let run = replay(&load, &net, &none, warm, q.seed, false);
-            (m * q.scale, load, run)
-        })
-        .collect();
-    let now = &runs[0];
     let from = (warm / 1_000_000) as usize;
-    let counted = |r: &Replay| -> Vec<Sum> { (from..r.seconds.len()).map(|s| r.over(s, s + 1)).collect() };
-    let (small, small_warm) = many(&now.1, warm);
+    let draws = (DRAWN / t.asks.len().max(1)).clamp(1, DRAWS_MOST) as u64;
+    let drawn = |m: &f64| {
+        // A load as it was recorded has nothing to draw.
+        let draws = if (m * q.scale - 1.0).abs() < 1e-9 { 1 } else { draws };
+        let one = |n: u64| {
+            let load = t.scaled(m * q.scale, q.seed + n);
+            let run = replay(&load, &net, &none, warm, q.seed + n, false);
+            (load, run)
+        };
+        Drawn { load: m * q.scale, runs: (0..draws).into_par_iter().map(one).collect(), from }
+    };
+    let runs: Vec<Drawn> = MULTIPLES.par_iter().map(drawn).collect();
+    let now = &runs[0];
+    let (small, small_warm) = many(&now.first().0, warm);
     let mix = mix(&small, small_warm, &net, q);
     let quality = quality(&t, recorded, now, q, warm);
     let span_s = small.span as f64 / 1e6;
     let long_enough = span_s - small_warm as f64 / 1e6 >= LOSSES_S;
     let lost = if long_enough { lost(&small, small_warm, &net, &asked, q) } else { Vec::new() };
     let cold = if long_enough { falls(&small, small_warm, &net, q) } else { None };
-    let offices = net.offices.iter().enumerate().map(|(o, office)| {
-        let seconds: Vec<Sum> = now.2.seconds.iter().skip(from).map(|s| s[o]).collect();
-        OfficeAnswer {
-            name: office.name.clone(),
-            boxes: office.boxes.len(),
-            in_time: sure::in_time(&seconds, q.seed),
-            local_part: if o < t.offices.len() { t.local_part(o) } else { 0.0 },
-        }
+    let offices = net.offices.iter().enumerate().map(|(o, office)| OfficeAnswer {
+        name: office.name.clone(),
+        boxes: office.boxes.len(),
+        in_time: sure::in_time(&now.office(o), q.seed),
+        local_part: if o < t.offices.len() { t.local_part(o) } else { 0.0 },
     });
-    let classes = t.classes.iter().zip(&now.2.classes).map(|(c, s)| {
+    let classes = t.classes.iter().enumerate().map(|(i, c)| {
+        let s = now.class(i);
         let enough = s.tries >= CLASS_LEAST;
         (c.name.clone(), enough.then(|| s.in_time()).and_then(Figure::bare))
     });
-    let multiples = runs.iter().map(|(m, _, r)| Multiple {
-        load: *m,
-        in_time: sure::in_time(&counted(r), q.seed),
-        served: sure::served(&counted(r), q.seed),
-        hits: r.hit_ratio(),
-        tries_again: ratio(r.all().again, r.all().tries),
-        runs_away: r.runs_away(),
+    let multiples = runs.iter().map(|d| Multiple {
+        load: d.load,
+        in_time: sure::in_time(&d.seconds(), q.seed),
+        served: sure::served(&d.seconds(), q.seed),
+        hits: d.mean(Replay::hit_ratio),
+        tries_again: d.mean(|r| ratio(r.all().again, r.all().tries)),
+        runs_away: d.runs_away(),
     });
     Ok(Answer {
         scale: q.scale,
         goal: q.goal,
-        rate: now.1.rate(),
-        in_time: sure::in_time(&counted(&now.2), q.seed),
-        served: sure::served(&counted(&now.2), q.seed),
-        hits: now.2.hit_ratio(),
-        filled: now.2.filled(),
-        library_per_s: now.2.fetched / (now.1.span as f64 / 1e6),
+        rate: now.first().0.rate(),
+        in_time: sure::in_time(&now.seconds(), q.seed),
+        served: sure::served(&now.seconds(), q.seed),
+        hits: now.mean(Replay::hit_ratio),
+        filled: now.mean(Replay::filled),
+        library_per_s: now.mean(|r| r.fetched) / (t.span as f64 / 1e6),
         offices: offices.collect(),
         classes: classes.collect(),
-        breaks: breaks(&runs, from, fleet, q),
+        breaks: breaks(&runs, fleet, q),
         multiples: multiples.collect(),
         mix,
         losses: lost,
@@ -198,14 +252,13 @@
 }
 
 /// Each resource with the load at which it breaks, the first to break first.
-fn breaks(runs: &[(f64, Trace, Replay)], from: usize, fleet: &Fleet, q: &Question) -> Vec<Break> {
-    let Some((scale, load, now)) = runs.first() else { return Vec::new() };
+fn breaks(runs: &[Drawn], fleet: &Fleet, q: &Question) -> Vec<Break> {
+    let Some(drawn) = runs.first() else { return Vec::new() };
+    let (scale, (load, now)) = (drawn.load, drawn.first());
     let mut all = Vec::new();
-    for (i, (resource, used)) in now.used.iter().enumerate() {
-        let counted = &used[from.min(used.len())..];
-        let points: Vec<(f64, f64)> =
-            runs.iter().map(|(m, _, r)| (*m, busiest(&r.used[i].1[from.min(r.used[i].1.len())..]))).collect();
-        all.push(one(resource.clone(), sure::mean(counted, q.seed), &points));
+    for (i, (resource, _)) in now.used.iter().enumerate() {
+        let points: Vec<(f64, f64)> = runs.iter().map(|d| (d.load, d.busiest(i))).collect();
+        all.push(one(resource.clone(), sure::mean(&drawn.used(i), q.seed), &points));
     }
     // Routers: what each needs by what it is asked.
     let routers = load.routers.max(1) as f64;
@@ -402,7 +455,7 @@
 }
 
 /// What the recording can't support.
-fn quality(t: &Trace, recorded: &Trace, now: &(f64, Trace, Replay), q: &Question, warm: u64) -> Quality {
+fn quality(t: &Trace, recorded: &Trace, now: &Drawn, q: &Question, warm: u64) -> Quality {
     let mut doubts = Vec::new();
     let counted = (t.span - warm.min(t.span)) as f64 / 1e6;
     if counted < SHORT_S {
@@ -420,12 +473,12 @@
             recorded.span as f64 / 1e6
         ));
     }
-    for (c, s) in t.classes.iter().zip(&now.2.classes) {
+    for (c, s) in t.classes.iter().zip(&now.first().1.classes) {
         if s.tries < CLASS_LEAST {
             doubts.push(format!("{}: {:.0} requests are too few to say anything of it", c.name, s.tries));
         }
     }
-    let most = now.2.used.iter().map(|u| busiest(&u.1)).fold(0.0, f64::max);
+    let most = now.first().1.used.iter().map(|u| busiest(&u.1)).fold(0.0, f64::max);
     if most < 0.3 {
         doubts.push(format!(
             "a calm recording: nothing was used above {:.0}%, so what breaks is far from what was seen",
--- a/crates/planner/src/replay.rs
+++ b/crates/planner/src/replay.rs
@@ -71,7 +71,8 @@
 }
 
 impl Sum {
-    fn add(&mut self, o: &Sum) {
+    /// Adds another.
+    pub fn add(&mut self, o: &Sum) {
         self.asked += o.asked;
         self.earned += o.earned;
         self.in_time += o.in_time;
@@ -136,7 +137,7 @@
     pub most_open: usize,
     /// The most bytes that one router held or waited for.
     pub most_held: f64,
-    /// Fetches of the library.
+    /// Calls of the library, filings among them.
     pub fetched: f64,
 }
 
@@ -704,7 +705,9 @@
         self.put_leg(id, 1);
         self.put_leg(id, 2);
         self.put_leg(id, 0);
-        self.out.bytes.1 += f64::from(self.trace.keys[self.ask(id).key as usize].bytes);
+        if self.now >= self.out.from {
+            self.out.bytes.1 += f64::from(self.trace.keys[self.ask(id).key as usize].bytes);
+        }
     }
 
     /// A transfer's id: its request's place and turn there, so that none comes twice, and which link it is for.
@@ -837,6 +840,7 @@
         let Some(done) = self.library.call(self.now, self.net.service_us as u64) else {
             return self.refuse(id);
         };
+        self.out.fetched += 1.0;
         let way = (self.net.delays.filing_us - self.net.service_us).max(0.0) as u64;
         self.open[id as usize].way = Way::Filing;
         let turn = self.open[id as usize].turn;
@@ -906,7 +910,9 @@
             let earned = c.worth * if in_time { 1.0 } else { c.late_worth };
             let in_time = if in_time { c.worth } else { 0.0 };
             self.sums(id, &Sum { earned, in_time, ..Sum::default() });
-            self.out.bytes.0 += f64::from(key.bytes);
+            if self.now >= self.out.from {
+                self.out.bytes.0 += f64::from(key.bytes);
+            }
             let o = self.open[id as usize];
             if o.tries == 0 && o.attempts == 1 {
                 if let Some(way) = self.out.ways.get_mut(o.ask as usize) {
--- a/crates/planner/src/trace.rs
+++ b/crates/planner/src/trace.rs
@@ -2,8 +2,9 @@
 //! without unusually large objects.
 //!
 //! A recording is scaled by *viewings*: all requests of one office for one object that follow each other closely. A
-//! viewing that is added again keeps the object only if others asked for it as well; what was asked for once is
-//! another object the second time, since more load brings more such objects and does not make any of them popular.
+//! viewing that is added copies one there is, but for its object: where that was viewed r times, it is one viewed r - 1
+//! times, and where it was viewed once, one that nobody knew (Good and Turing's estimate of how often what was seen r
+//! times comes again). So what was asked for once doesn't become popular by multiplying.
 
 use crate::PlanError;
 use hollymux_record::{ClassHead, End, Recording, Row};
@@ -19,6 +20,14 @@
 const SHIFT: u64 = 15_000_000;
 /// An object is unusually large from so many times its class's median on.
 const LARGE: f64 = 6.0;
+/// An object that never came, though others of its class did, is held to be too large to come: if so many waits in
+/// vain are less likely than this by chance. What was waited for is its least size.
+const CHANCE: f64 = 0.02;
+/// A wait counts if it took this part of the client's whole time.
+const WAITED: f64 = 0.5;
+/// Parts that never came are larger than those of the object that did, and than what their longest wait could have
+/// brought, by about this.
+const UNSERVED: f64 = 1.3;
 /// Objects of a class that must be known before any of them is called unusual.
 const USUAL: usize = 20;
 
@@ -109,6 +118,14 @@
     pub again: f64,
 }
 
+/// How often an object was viewed, and by which office alone.
+#[derive(Clone, Copy, Debug)]
+struct Viewed {
+    times: u32,
+    office: Option<u16>,
+    class: u8,
+}
+
 fn served(row: &Row) -> bool {
     matches!(row.end, End::Served | End::Unchanged)
 }
@@ -153,6 +170,8 @@
         let mut unserved: HashMap<(u16, u32), u64> = HashMap::new();
         let mut viewings: HashMap<(u16, u64), (u32, u64)> = HashMap::new();
         let (mut next, mut again) = (0u32, 0usize);
+        // Waits in vain by part: how many, and the longest in microseconds.
+        let mut waits: HashMap<u32, (u32, u32)> = HashMap::new();
         for row in &r.rows {
             if usize::from(row.class) >= t.classes.len() {
                 return Err(PlanError::Contradiction(format!(
@@ -170,6 +189,10 @@
                 let k = &mut t.keys[key as usize];
                 k.bytes = k.bytes.max(row.bytes as f32);
             }
+            if !served(row) && row.attempts > 0 && f64::from(row.took) > WAITED * f64::from(row.budget) {
+                let w = waits.entry(key).or_default();
+                *w = (w.0 + 1, w.1.max(row.took));
+            }
             let office = office_of.get(usize::from(row.router)).copied().unwrap_or(0);
             let ended = row.arrived + u64::from(row.took);
             let last = unserved.remove(&(office, key));
@@ -198,31 +221,53 @@
         }
         t.span = t.asks.last().map_or(0, |a| a.at) + 1;
         t.again = again as f64 / r.rows.len() as f64;
-        t.size();
+        t.size(&waits);
         t.list(r);
         t.purge(r, first);
         Ok(t)
     }
 
-    /// Sizes of what was never served, and which objects are unusually large.
-    fn size(&mut self) {
+    /// Sizes of what was never served, and which objects are unusually large. `waits` are those in vain, by part.
+    fn size(&mut self, waits: &HashMap<u32, (u32, u32)>) {
         for class in 0..self.classes.len() {
-            let of = |k: &&Key| usize::from(k.class) == class && k.bytes > 0.0;
-            let mut sizes: Vec<f64> = self.keys.iter().filter(of).map(|k| f64::from(k.bytes)).collect();
+            let of = |k: &Key| usize::from(k.class) == class;
+            let known = |k: &&Key| of(k) && k.bytes > 0.0;
+            let mut sizes: Vec<f64> = self.keys.iter().filter(known).map(|k| f64::from(k.bytes)).collect();
             let usual = median(&mut sizes);
-            let mut objects: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
-            for k in self.keys.iter().filter(of) {
+            // By object: bytes and parts that came, waits in vain and what the longest could have brought.
+            let mut objects: BTreeMap<u64, (f64, f64, u32, f64)> = BTreeMap::new();
+            let mut vain = 0.0;
+            for (i, k) in self.keys.iter().enumerate().filter(|(_, k)| of(k)) {
                 let o = objects.entry(k.object).or_default();
-                (o.0, o.1) = (o.0 + f64::from(k.bytes), o.1 + 1.0);
+                if k.bytes > 0.0 {
+                    (o.0, o.1) = (o.0 + f64::from(k.bytes), o.1 + 1.0);
+                }
+                if let Some((n, took)) = waits.get(&(i as u32)) {
+                    (o.2, o.3) = (o.2 + n, o.3.max(f64::from(*took) / 1e6 * self.flow));
+                    vain += f64::from(*n);
+                }
             }
-            let mut means: Vec<f64> = objects.values().map(|o| o.0 / o.1).collect();
-            let known = means.len() >= USUAL;
+            let asked = self.asks.iter().filter(|a| of(&self.keys[a.key as usize])).count() as f64;
+            let chance = (vain / asked.max(1.0)).clamp(0.0, 1.0);
+            let mut means: Vec<f64> = objects.values().filter(|o| o.1 > 0.0).map(|o| o.0 / o.1).collect();
+            let enough = means.len() >= USUAL;
             let bound = LARGE * median(&mut means);
-            for k in self.keys.iter_mut().filter(|k| usize::from(k.class) == class) {
-                let o = objects.get(&k.object).map_or(0.0, |o| o.0 / o.1);
-                k.large = known && o > bound;
+            for (i, k) in self.keys.iter_mut().enumerate().filter(|(_, k)| of(k)) {
+                let o = objects.get(&k.object).copied().unwrap_or_default();
+                let mean = if o.1 > 0.0 { o.0 / o.1 } else { 0.0 };
+                let never = o.1 == 0.0 && o.3 > usual && chance.powi(o.2 as i32) < CHANCE;
+                k.large = enough && (mean > bound || never);
                 if k.bytes <= 0.0 {
-                    k.bytes = if o > 0.0 { o as f32 } else { usual as f32 };
+                    k.bytes = match (o.1 > 0.0, never) {
+                        (true, _) if k.large => {
+                            let waited =
+                                waits.get(&(i as u32)).map_or(0.0, |w| f64::from(w.1) / 1e6 * self.flow);
+                            (UNSERVED * mean.max(waited)) as f32
+                        }
+                        (true, _) => mean as f32,
+                        (false, true) => (UNSERVED * o.3) as f32,
+                        (false, false) => usual as f32,
+                    };
                 }
             }
         }
@@ -325,45 +370,64 @@
         }
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let viewings = self.asks.iter().map(|a| a.viewing as usize + 1).max().unwrap_or(0);
-        let mut asked: HashMap<u64, Vec<u32>> = HashMap::new();
         let mut of: Vec<Vec<u32>> = vec![Vec::new(); viewings];
+        let mut viewed: BTreeMap<u64, Viewed> = BTreeMap::new();
         for (i, a) in self.asks.iter().enumerate() {
-            if of[a.viewing as usize].is_empty() {
-                asked.entry(self.keys[a.key as usize].object).or_default().push(a.viewing);
+            let all = &mut of[a.viewing as usize];
+            if all.is_empty() {
+                let k = &self.keys[a.key as usize];
+                let v = viewed.entry(k.object).or_insert(Viewed {
+                    times: 0,
+                    office: Some(a.office),
+                    class: k.class,
+                });
+                v.times += 1;
+                v.office = v.office.filter(|o| *o == a.office);
+            }
+            all.push(i as u32);
+        }
+        // Objects by how often they were viewed, those of one office alone also by office.
+        let mut alike: HashMap<(u8, Option<u16>, u32), Vec<u64>> = HashMap::new();
+        for (object, v) in &viewed {
+            alike.entry((v.class, None, v.times)).or_default().push(*object);
+            if v.office.is_some() {
+                alike.entry((v.class, v.office, v.times)).or_default().push(*object);
             }
-            of[a.viewing as usize].push(i as u32);
         }
         let mut t = self.clone();
         t.asks.clear();
+        let mut parts: HashMap<(u64, u32), u32> =
+            (0..).zip(&self.keys).map(|(i, k)| ((k.object, k.part), i)).collect();
         let mut next = viewings as u32;
-        for (v, all) in of.iter().enumerate().filter(|(_, all)| !all.is_empty()) {
+        let early = SHIFT.min(self.span / 4);
+        for all in of.iter().filter(|all| !all.is_empty()) {
             let copies = times.floor() as usize + usize::from(rng.random::<f64>() < times.fract());
             let object = self.keys[self.asks[all[0] as usize].key as usize].object;
-            let once = asked.get(&object).is_none_or(|o| o.len() < 2);
+            let v = viewed.get(&object).copied().unwrap_or(Viewed { times: 1, office: None, class: 0 });
             for copy in 0..copies {
                 if copy == 0 {
                     t.asks.extend(all.iter().map(|i| self.asks[*i as usize]));
                     continue;
                 }
-                let shift = rng.random_range(0..=2 * SHIFT.min(self.span / 4));
-                let (viewing, name) = (next, rng.random::<u64>());
-                next += 1;
-                let mut renamed: HashMap<u32, u32> = HashMap::new();
+                let shift = rng.random_range(0..=2 * early);
+                let fewer = alike.get(&(v.class, v.office, v.times - 1));
+                let stands = match fewer {
+                    _ if v.times == 1 => rng.random(),
+                    Some(some) => some[rng.random_range(0..some.len())],
+                    None => object,
+                };
                 for i in all {
-                    let mut a = self.asks[*i as usize];
-                    a.at = (a.at + self.span + shift - SHIFT.min(self.span / 4)) % self.span;
-                    a.viewing = viewing;
-                    a.took = 0;
-                    if once {
-                        a.key = *renamed.entry(a.key).or_insert_with(|| {
-                            t.keys.push(Key { object: name, ..self.keys[a.key as usize] });
-                            t.keys.len() as u32 - 1
-                        });
-                    }
-                    t.asks.push(a);
+                    let a = self.asks[*i as usize];
+                    let old = self.keys[a.key as usize];
+                    let key = *parts.entry((stands, old.part)).or_insert_with(|| {
+                        t.keys.push(Key { object: stands, ..old });
+                        t.keys.len() as u32 - 1
+                    });
+                    let at = (a.at + self.span + shift - early) % self.span;
+                    t.asks.push(Ask { at, key, viewing: next, took: 0, ..a });
                 }
+                next += 1;
             }
-            debug_assert!(v < viewings);
         }
         t.asks.sort_by_key(|a| a.at);
         t
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -24,7 +24,7 @@
 /// See [`BLOCK_MOST`].
 pub const UNPACKED_MOST: usize = 32 << 20;
 /// Entries of a block.
-pub const ENTRIES_MOST: usize = 8_192;
+pub const ENTRIES_MOST: usize = 2_048;
 
 /// A class, as far as a plan needs it. Times in microseconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
