--- a/crates/hollymux/src/plan.rs
+++ b/crates/hollymux/src/plan.rs
@@ -28,6 +28,9 @@
     /// Leave unusually large objects out
     #[arg(long)]
     without_large: bool,
+    /// All caches are empty when the load begins, as after a loss of everything
+    #[arg(long)]
+    empty: bool,
     /// For random numbers
     #[arg(long, value_name = "N", default_value_t = 1)]
     seed: u64,
@@ -75,6 +78,7 @@
         lose: options.lose.iter().map(|l| l.split(',').map(str::to_string).collect()).collect(),
         warm_s: options.warm,
         without_large: options.without_large,
+        empty: options.empty,
         seed: options.seed,
     };
     let mut answer = plan(&trace, &fleet, &question).map_err(Fail::unusable)?;
--- a/crates/hollymux/tests/plan.rs
+++ b/crates/hollymux/tests/plan.rs
@@ -51,7 +51,8 @@
 }
 
 fn planned(load: &[String], fleet: &Path, more: &[&str]) -> serde_json::Value {
-    let mut args = vec!["plan", "--fleet", fleet.to_str().unwrap(), "--json", "--warm", "10"];
+    // The laboratory's days begin with empty caches.
+    let mut args = vec!["plan", "--fleet", fleet.to_str().unwrap(), "--json", "--warm", "10", "--empty"];
     args.extend(more);
     args.push("--load");
     args.extend(load.iter().map(String::as_str));
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -101,13 +101,23 @@
     pub warm_s: Option<f64>,
     /// Unusually large objects are left out.
     pub without_large: bool,
+    /// All caches are empty when the load begins, as after a loss of everything.
+    pub empty: bool,
     /// For random numbers.
     pub seed: u64,
 }
 
 impl Default for Question {
     fn default() -> Self {
-        Question { goal: 0.95, scale: 1.0, lose: Vec::new(), warm_s: None, without_large: false, seed: 1 }
+        Question {
+            goal: 0.95,
+            scale: 1.0,
+            lose: Vec::new(),
+            warm_s: None,
+            without_large: false,
+            empty: false,
+            seed: 1,
+        }
     }
 }
 
@@ -159,7 +169,7 @@
     let losses = q.lose.iter().map(|all| all.iter().map(|n| server(&net, n)).collect::<Result<Vec<_>, _>>());
     let asked: Vec<Vec<Server>> = losses.collect::<Result<_, _>>()?;
 
-    let none = Losses::default();
+    let none = Losses { empty: q.empty, ..Losses::default() };
     let from = (warm / 1_000_000) as usize;
     let draws = (DRAWN / t.asks.len().max(1)).clamp(1, DRAWS_MOST) as u64;
     let drawn = |m: &f64| {
@@ -339,7 +349,7 @@
 
 /// How many boxes each office needs, and the cheapest mix for all.
 fn mix(t: &Trace, warm: u64, net: &Net, q: &Question) -> Mix {
-    let none = Losses::default();
+    let none = Losses { empty: q.empty, ..Losses::default() };
     let run = |net: &Net| replay(t, net, &none, warm, q.seed, false);
     let present = run(net);
     let each: Vec<Option<usize>> = (0..net.offices.len())
@@ -415,10 +425,11 @@
     let rest = t.span - warm;
     let from = warm + rest / 4;
     let to = from + (rest / 4).min(LOST_S * 1_000_000);
-    let base = replay(t, net, &Losses::default(), warm, q.seed, false);
+    let none = Losses { empty: q.empty, ..Losses::default() };
+    let base = replay(t, net, &none, warm, q.seed, false);
     sets.into_par_iter()
         .map(|servers| {
-            let losses = Losses { servers: servers.clone(), from, to };
+            let losses = Losses { servers: servers.clone(), from, to, ..none.clone() };
             let run = replay(t, net, &losses, warm, q.seed, false);
             let hub = servers.iter().any(|s| matches!(s, Server::Hub(_)));
             let cold = if hub { net.cold.hub_s } else { net.cold.box_s };
@@ -443,8 +454,9 @@
 /// Two stable states: whether the load that a warm fleet carries is carried as well once all hubs are cold.
 fn falls(t: &Trace, warm: u64, net: &Net, q: &Question) -> Option<bool> {
     let servers = (0..net.hubs.len()).map(Server::Hub).collect();
-    let losses = Losses { servers, from: warm, to: warm + 1_000_000 };
-    let base = replay(t, net, &Losses::default(), warm, q.seed, false);
+    let none = Losses { empty: q.empty, ..Losses::default() };
+    let losses = Losses { servers, from: warm, to: warm + 1_000_000, ..none.clone() };
+    let base = replay(t, net, &none, warm, q.seed, false);
     let run = replay(t, net, &losses, warm, q.seed, false);
     let n = base.seconds.len();
     let last = n.saturating_sub((n - (warm / 1_000_000) as usize) / 3);
--- a/crates/planner/src/replay.rs
+++ b/crates/planner/src/replay.rs
@@ -44,9 +44,11 @@
     Hub(usize),
 }
 
-/// Servers that are lost for a while and come back cold and empty.
+/// What happens to servers beside the load: some are lost for a while and come back cold and empty.
 #[derive(Clone, Debug, Default)]
 pub struct Losses {
+    /// All caches are empty when the load begins.
+    pub empty: bool,
     /// Which.
     pub servers: Vec<Server>,
     /// From when to when, in microseconds.
@@ -263,6 +265,9 @@
 /// Replays a load. Sums count from `from` on, in microseconds; `ways` has it told how each first try was served.
 pub fn replay(trace: &Trace, net: &Net, losses: &Losses, from: u64, seed: u64, ways: bool) -> Replay {
     let mut run = Run::new(trace, net, from, seed, ways);
+    if !losses.empty {
+        run.prime();
+    }
     if !losses.servers.is_empty() {
         run.at(losses.from, Event::Lose);
         run.at(losses.to, Event::Back);
@@ -339,6 +344,28 @@
         }
     }
 
+    /// What lay in caches when the recording began is not known: they are held to have what the warm-up asks for. A
+    /// fleet that starts empty under its full load may fall over at a load that it carries well once warm.
+    fn prime(&mut self) {
+        let warm = self.trace.asks.iter().take_while(|a| a.at < self.out.from);
+        for a in warm {
+            let k = self.trace.keys[a.key as usize];
+            if self.trace.classes[usize::from(k.class)].write {
+                continue;
+            }
+            let (seed, office) = (seed(k.object, k.part), usize::from(a.office));
+            let home = usize::from(order(&self.weights[office], seed)[0]);
+            let hub = usize::from(order(&self.hub_weights, seed)[0]);
+            let kept = &mut self.boxes[self.first_box[office] + home];
+            // What comes again is kept at the upper rank.
+            let rank = if kept.look(a.key, 0, 2).is_some() { 2 } else { 1 };
+            kept.put(a.key, f64::from(k.bytes), rank, 0);
+            if self.hubs[hub].look(a.key, 0, 1).is_none() {
+                self.hubs[hub].put(a.key, f64::from(k.bytes), 1, 0);
+            }
+        }
+    }
+
     fn at(&mut self, at: u64, event: Event) {
         self.seq += 1;
         self.events.push(Reverse((at.max(self.now), self.seq, event)));
--- a/crates/planner/tests/plans.rs
+++ b/crates/planner/tests/plans.rs
@@ -158,6 +158,16 @@
     assert_eq!(a.breaks[0].resource, "h link out", "{}", a.text());
 }
 
+#[test]
+fn a_fleet_that_starts_empty_is_no_better_off_than_a_warm_one() {
+    // Two stable states: at a load that a warm fleet just carries, one that starts empty never gets there.
+    let t = load(120, 60, 1_000, 0.1);
+    let f = fleet(4, 6.0, 5.0);
+    let warm = asked(&t, &f, &Question { scale: 1.6, ..Question::default() });
+    let empty = asked(&t, &f, &Question { scale: 1.6, empty: true, ..Question::default() });
+    assert!(value(warm.in_time) >= value(empty.in_time) - 0.01, "{} {}", warm.text(), empty.text());
+}
+
 #[test]
 fn a_lost_hub_costs_more_than_a_lost_box_and_is_back_later() {
     let t = load(160, 60, 1_500, 0.1);
