--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -19,6 +19,8 @@
 const BROKEN: f64 = 0.95;
 /// ...of so many seconds.
 const STRETCH: usize = 20;
+/// Breaking loads within this of each other are alike.
+const ALIKE: f64 = 1.1;
 /// Beyond this multiple of the recorded load nothing is said.
 const FAR: f64 = 4.0;
 /// Recordings shorter than this say little; below the second bound losses are not judged.
@@ -288,10 +290,15 @@
         let resource = format!("a router's {what}");
         all.push(Break { resource, used: Figure::bare(used), breaks_at: at, notice: notice.into() });
     }
-    let order = |b: &Break| (b.breaks_at.unwrap_or(f64::INFINITY), -b.used.map_or(0.0, |u| u.value));
+    let at = |b: &Break| b.breaks_at.unwrap_or(f64::INFINITY);
+    let first = all.iter().map(at).fold(f64::INFINITY, f64::min);
+    // Loads this close to each other can't be told apart: of those that break first, what is used most does.
+    let order = |b: &Break| {
+        let (close, used) = (at(b) <= first * ALIKE, -b.used.map_or(0.0, |u| u.value));
+        (if close { 0.0 } else { at(b) }, used)
+    };
     all.sort_by(|a, b| {
-        let (a1, a2) = order(a);
-        let (b1, b2) = order(b);
+        let ((a1, a2), (b1, b2)) = (order(a), order(b));
         a1.total_cmp(&b1).then(a2.total_cmp(&b2)).then(a.resource.cmp(&b.resource))
     });
     all
--- a/crates/planner/src/replay.rs
+++ b/crates/planner/src/replay.rs
@@ -784,14 +784,15 @@
 
     fn step(&mut self, id: u32) {
         self.open[id as usize].left -= 1;
-        if self.open[id as usize].left > 0 {
-            return;
-        }
-        // All of it is there; the way to the client and the work on it are still to come.
         let o = self.open[id as usize];
-        if o.filling {
+        // A fill is over before its client has been sent all of it, and is kept also if the client leaves then.
+        if o.filling && !o.legs[1] && !o.legs[2] && o.fetch == NONE {
             self.end_filling(id, true);
         }
+        if o.left > 0 {
+            return;
+        }
+        // All of it is there; the way to the client and the work on it are still to come.
         let after = self.net.delays.hit_us as u64;
         self.at(self.now + after, Event::Done(id, o.turn));
     }
--- a/crates/planner/src/trace.rs
+++ b/crates/planner/src/trace.rs
@@ -18,8 +18,10 @@
 const AGAIN: u64 = 2_500_000;
 /// A viewing that is added comes up to so much earlier or later than the one it copies.
 const SHIFT: u64 = 15_000_000;
-/// An object is unusually large from so many times its class's median on.
+/// An object is unusually large from so many times its class's median on; from fewer where three of its parts or more
+/// say so: of a large object only the smaller parts come in time, so that its mean looks less than it is.
 const LARGE: f64 = 6.0;
+const LARGE_BY_PARTS: (f64, f64) = (3.0, 3.5);
 /// An object that never came, though others of its class did, is held to be too large to come: if so many waits in
 /// vain are less likely than this by chance. What was waited for is its least size.
 const CHANCE: f64 = 0.02;
@@ -251,12 +253,14 @@
             let chance = (vain / asked.max(1.0)).clamp(0.0, 1.0);
             let mut means: Vec<f64> = objects.values().filter(|o| o.1 > 0.0).map(|o| o.0 / o.1).collect();
             let enough = means.len() >= USUAL;
-            let bound = LARGE * median(&mut means);
+            let middle = median(&mut means);
             for (i, k) in self.keys.iter_mut().enumerate().filter(|(_, k)| of(k)) {
                 let o = objects.get(&k.object).copied().unwrap_or_default();
                 let mean = if o.1 > 0.0 { o.0 / o.1 } else { 0.0 };
                 let never = o.1 == 0.0 && o.3 > usual && chance.powi(o.2 as i32) < CHANCE;
-                k.large = enough && (mean > bound || never);
+                let by_parts = o.1 + f64::from(o.2) >= LARGE_BY_PARTS.0;
+                let bound = if by_parts { LARGE_BY_PARTS.1 } else { LARGE };
+                k.large = enough && (mean > bound * middle || never);
                 if k.bytes <= 0.0 {
                     k.bytes = match (o.1 > 0.0, never) {
                         (true, _) if k.large => {
