Keep purges, faults and routers' numbers in one place each; drop state that nothing reads

The planner followed purges and fresh times in two places (fit and replay), the laboratory worked out which faults hold in two and a router's number in two; the virtual laboratory made its list of seats anew for every request that closed. Dropped, as nothing read it: Replay::left_open, Workers::worked and turned, Trace::recorded, the curve's bytes and its by_bytes, World::start, Recorder::dropped.

Tests keep their assertions; two calls lose an argument that was always false.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -342,6 +342,17 @@
         (1..=self.offices[office].boxes).map(move |n| format!("{}-{n}", self.offices[office].name))
     }
 
+    /// The number of an office's router among all.
+    pub fn router(&self, office: usize, number: usize) -> usize {
+        self.offices[..office].iter().map(|o| o.routers).sum::<usize>() + number
+    }
+
+    /// The faults that hold so many seconds after the start.
+    pub fn faults_at(&self, seconds: f64) -> impl Iterator<Item = &What> {
+        let holds = move |f: &&Fault| seconds >= f.at_s && f.for_s.is_none_or(|s| seconds < f.at_s + s);
+        self.faults.iter().filter(holds).map(|f| &f.what)
+    }
+
     /// How many routers there are.
     pub fn routers(&self) -> usize {
         self.offices.iter().map(|o| o.routers).sum()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,10 +18,8 @@
 
 /// How long news of members takes now, so long after the day's start.
 fn news_lag(day: &Day, since: Time) -> Time {
-    let now = since as f64 / 1e6;
-    let holds = |f: &&day::Fault| now >= f.at_s && f.for_s.is_none_or(|s| now < f.at_s + s);
     let late =
-        day.faults.iter().filter(holds).map(|f| if let What::Late { by_ms } = f.what { by_ms } else { 0.0 });
+        day.faults_at(since as f64 / 1e6).map(|f| if let What::Late { by_ms } = f { *by_ms } else { 0.0 });
     secs((day.roster_lag_ms + late.sum::<f64>()) / 1e3)
 }
 
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -233,9 +233,7 @@
 
     /// Faults of the load that hold now.
     fn faults(&self) -> impl Iterator<Item = &What> {
-        let now = self.now.saturating_sub(self.start) as f64 / 1e6;
-        let holds = move |f: &&crate::day::Fault| now >= f.at_s && f.for_s.is_none_or(|s| now < f.at_s + s);
-        self.day.faults.iter().filter(holds).map(|f| &f.what)
+        self.day.faults_at(self.now.saturating_sub(self.start) as f64 / 1e6)
     }
 
     fn arrive_later(&mut self, office: usize, class: usize) {
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -497,7 +497,7 @@
     }
 
     fn on_ask(&mut self, ask: &Ask) -> io::Result<()> {
-        let router = self.day.offices[..ask.office].iter().map(|o| o.routers).sum::<usize>() + ask.router;
+        let router = self.day.router(ask.office, ask.router);
         let load = |token: &usize| match self.conns.get(token).map(|c| &c.role) {
             Some(Role::Client { open, .. }) => open.len(),
             _ => usize::MAX,
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -77,6 +77,7 @@
 
 struct Lab<'a> {
     day: Day,
+    seats: Vec<Seat>,
     now: Time,
     world: World,
     clients: Clients,
@@ -142,6 +143,7 @@
     }
     let mut lab = Lab {
         day: day.clone(),
+        seats: seats(day),
         now: START,
         world,
         clients,
@@ -219,7 +221,7 @@
     }
 
     fn on_ask(&mut self, ask: &Ask) {
-        let router = self.day.offices[..ask.office].iter().map(|o| o.routers).sum::<usize>() + ask.router;
+        let router = self.day.router(ask.office, ask.router);
         let word = |n: u64| (format!("{n:016x}").into_bytes(), n);
         let asked = hollymux_core::Ask {
             rid: word(ask.rid),
@@ -237,7 +239,7 @@
 
     fn tell(&mut self, router: usize, told: Told) {
         let now = self.now;
-        let seat = seats(&self.day)[router];
+        let seat = self.seats[router];
         match &told {
             Told::Members { lines, .. } => (self.ended)(seat, &Heard::Members(now, lines)),
             Told::Purge { object, group, .. } => (self.ended)(seat, &Heard::Purge(now, *object, *group)),
@@ -302,7 +304,7 @@
                     }
                 }
             }
-            Command::Ended(ended) => (self.ended)(seats(&self.day)[router], &Heard::Ended(&ended)),
+            Command::Ended(ended) => (self.ended)(self.seats[router], &Heard::Ended(&ended)),
             Command::Hold(_) | Command::Look(..) | Command::Tried(..) | Command::Log(_) => {}
         }
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -232,7 +232,6 @@
 pub struct World {
     day: Day,
     now: Time,
-    start: Time,
     rng: Pcg64Mcg,
     /// The servers, as the list names them.
     pub servers: Vec<Server>,
@@ -317,7 +316,6 @@
         let mut world = World {
             day: day.clone(),
             now: start,
-            start,
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0x776f_726c),
             lives: vec![0; servers.len()],
             servers,
@@ -1102,11 +1100,6 @@
             Event::Purge => self.on_purge(),
         }
     }
-
-    /// When the day began.
-    pub fn start(&self) -> Time {
-        self.start
-    }
 }
 
 /// News of a purge takes this long to a router.
--- a/crates/planner/src/fit.rs
+++ b/crates/planner/src/fit.rs
@@ -5,8 +5,7 @@
 use crate::place::{order, seed};
 use crate::replay::{replay, Losses, Way};
 use crate::reuse::{curve, Use};
-use crate::trace::Trace;
-use std::collections::HashMap;
+use crate::trace::{Purged, Trace};
 
 /// Answers below which a delay keeps its default.
 const LEAST: usize = 30;
@@ -87,17 +86,9 @@
         let (mut quick, mut timed) = (0.0, 0.0);
         let servers: Vec<(u64, f64)> = net.offices[office].boxes.iter().map(|b| (b.id, b.flows)).collect();
         let mut uses: Vec<Vec<Use>> = vec![Vec::new(); servers.len()];
-        let mut purges = t.purges.iter().peekable();
-        let (mut objects, mut groups): (HashMap<u64, u64>, [u64; 256]) = (HashMap::new(), [0; 256]);
+        let mut purged = Purged::default();
         for (i, a) in t.asks.iter().enumerate() {
-            while let Some(p) = purges.next_if(|p| p.at <= a.at) {
-                match p.object {
-                    Some(o) => {
-                        objects.insert(o, p.at);
-                    }
-                    None => groups[usize::from(p.group)] = p.at,
-                }
-            }
+            purged.turn(&t.purges, a.at);
             let k = &t.keys[a.key as usize];
             let class = &t.classes[usize::from(k.class)];
             if usize::from(a.office) != office || class.write {
@@ -107,10 +98,9 @@
                 timed += 1.0;
                 quick += f64::from(u8::from(beside <= bound + SLOWED * t.sending(a.key) * 1e6));
             }
-            let purged = objects.get(&k.object).copied().unwrap_or(0).max(groups[usize::from(k.group)]);
-            let old = if class.fresh > 0 { (a.at + 1).saturating_sub(class.fresh) } else { 0 };
+            let since = purged.since(a.at, k, class);
             let home = usize::from(order(&servers, seed(k.object, k.part))[0]);
-            uses[home].push(Use { at: a.at, key: a.key, bytes: f64::from(k.bytes), since: purged.max(old) });
+            uses[home].push(Use { at: a.at, key: a.key, bytes: f64::from(k.bytes), since });
         }
         if timed < LEAST as f64 {
             net.fitted.push(format!(
@@ -124,8 +114,7 @@
         let curves: Vec<_> =
             uses.into_iter().map(|u| (u.len() as f64, curve(u.into_iter(), sample))).collect();
         let total: f64 = curves.iter().map(|c| c.0).sum();
-        let share =
-            |size: f64| curves.iter().map(|(n, c)| n * c.hits(size, false)).sum::<f64>() / total.max(1.0);
+        let share = |size: f64| curves.iter().map(|(n, c)| n * c.hits(size)).sum::<f64>() / total.max(1.0);
         let most = curves.iter().map(|(n, c)| n * c.most()).sum::<f64>() / total.max(1.0);
         let name = net.offices[office].name.clone();
         if hits + CLOSE >= most {
--- a/crates/planner/src/link.rs
+++ b/crates/planner/src/link.rs
@@ -144,12 +144,8 @@
     lately: VecDeque<u64>,
     /// Calls a second above which it turns away.
     most: Option<f64>,
-    /// Calls, by second, and microseconds of work.
+    /// Calls, by second.
     pub calls: Vec<f64>,
-    /// See `calls`.
-    pub worked: f64,
-    /// Calls turned away.
-    pub turned: u64,
 }
 
 impl Workers {
@@ -161,8 +157,6 @@
             lately: VecDeque::new(),
             most,
             calls: Vec::new(),
-            worked: 0.0,
-            turned: 0,
         }
     }
 
@@ -178,12 +172,10 @@
         }
         if let Some(most) = self.most {
             if self.lately.len() as f64 >= most {
-                self.turned += 1;
                 return None;
             }
             self.lately.push_back(now);
         }
-        self.worked += work as f64;
         while self.free_at.peek().is_some_and(|Reverse(t)| *t <= now) {
             self.free_at.pop();
         }
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -55,9 +55,7 @@
     }
 
     fn seconds(&self) -> Vec<Sum> {
-        let counted =
-            |r: &Replay| (self.from..r.seconds.len()).map(|s| r.over(s, s + 1)).collect::<Vec<Sum>>();
-        self.runs.iter().flat_map(|(_, r)| counted(r)).collect()
+        self.runs.iter().flat_map(|(_, r)| r.each(self.from, r.seconds.len())).collect()
     }
 
     fn office(&self, office: usize) -> Vec<Sum> {
@@ -381,7 +379,7 @@
         })
         .collect();
     let from = (warm / 1_000_000) as usize;
-    let counted = |r: &Replay| -> Vec<Sum> { (from..r.seconds.len()).map(|s| r.over(s, s + 1)).collect() };
+    let counted = |r: &Replay| r.each(from, r.seconds.len());
     // Offices that can't reach the goal keep what they have: more boxes would be for nothing.
     let counts: Vec<usize> = each.iter().zip(&net.offices).map(|(n, o)| n.unwrap_or(o.boxes.len())).collect();
     let build =
@@ -443,15 +441,14 @@
             let second = |us: u64| (us / 1_000_000) as usize;
             let (a, b) = (second(from), second(to));
             let c = (b + cold.ceil() as usize).min(run.seconds.len());
-            let over = |r: &Replay, from, to| -> Vec<Sum> { (from..to).map(|s| r.over(s, s + 1)).collect() };
             let back = (b..run.seconds.len().saturating_sub(BACK.0))
                 .find(|s| run.over(*s, s + BACK.0).in_time() >= base.over(*s, s + BACK.0).in_time() - BACK.1);
             Loss {
                 servers: servers.iter().map(|s| name(net, *s)).collect(),
                 lost_for_s: (to - from) as f64 / 1e6,
-                without: sure::in_time(&over(&base, a, b), q.seed),
-                during: sure::in_time(&over(&run, a, b), q.seed),
-                while_cold: sure::in_time(&over(&run, b, c), q.seed),
+                without: sure::in_time(&base.each(a, b), q.seed),
+                during: sure::in_time(&run.each(a, b), q.seed),
+                while_cold: sure::in_time(&run.each(b, c), q.seed),
                 back_after_s: back.map(|s| (s - b) as f64),
             }
         })
--- a/crates/planner/src/replay.rs
+++ b/crates/planner/src/replay.rs
@@ -8,7 +8,7 @@
 use crate::link::{Link, Workers};
 use crate::net::Net;
 use crate::place::{order, seed, Levels};
-use crate::trace::Trace;
+use crate::trace::{Purged, Trace};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -133,8 +133,6 @@
     pub ways: Vec<Way>,
     /// Use of resources by second.
     pub used: Vec<(Resource, Vec<f64>)>,
-    /// Requests open at the end of the load.
-    pub left_open: usize,
     /// The most that were open at one router.
     pub most_open: usize,
     /// The most bytes that one router held or waited for.
@@ -248,9 +246,7 @@
     fetch_slab: Vec<Fetch>,
     levels: Vec<Levels>,
     seen: HashMap<(u16, u32), u64>,
-    purged: HashMap<u64, u64>,
-    purged_groups: [u64; 256],
-    next_purge: usize,
+    purged: Purged,
     /// Open attempts at each box, and how much of their aim its answers took lately.
     load: Vec<usize>,
     tardy: Vec<f64>,
@@ -318,9 +314,7 @@
             fetch_slab: Vec::new(),
             levels: (0..trace.routers.max(1)).map(|_| Levels::default()).collect(),
             seen: HashMap::new(),
-            purged: HashMap::new(),
-            purged_groups: [0; 256],
-            next_purge: 0,
+            purged: Purged::default(),
             load: vec![0; hub_at],
             tardy: vec![0.0; hub_at],
             work: vec![work; net.offices.len()],
@@ -379,12 +373,11 @@
             let event = self.events.peek().map(|Reverse(e)| e.0);
             if ask.is_none() && !seen_end {
                 seen_end = true;
-                self.out.left_open = self.open.len() - self.free.len();
             }
             match (ask, event) {
                 (Some(a), e) if e.is_none_or(|e| a <= e) => {
                     self.now = a;
-                    self.purge();
+                    self.purged.turn(&self.trace.purges, a);
                     self.first_try(next as u32);
                     next += 1;
                 }
@@ -402,18 +395,6 @@
         }
     }
 
-    fn purge(&mut self) {
-        while let Some(p) = self.trace.purges.get(self.next_purge).filter(|p| p.at <= self.now) {
-            match p.object {
-                Some(o) => {
-                    self.purged.insert(o, p.at);
-                }
-                None => self.purged_groups[usize::from(p.group)] = p.at,
-            }
-            self.next_purge += 1;
-        }
-    }
-
     fn first_try(&mut self, ask: u32) {
         let a = self.trace.asks[ask as usize];
         let key = self.trace.keys[a.key as usize];
@@ -484,12 +465,7 @@
     /// A copy made before this will not do.
     fn since(&self, key: u32) -> u64 {
         let k = &self.trace.keys[key as usize];
-        let fresh = self.trace.classes[usize::from(k.class)].fresh;
-        let purged =
-            self.purged.get(&k.object).copied().unwrap_or(0).max(self.purged_groups[usize::from(k.group)]);
-        // What was there when the load began is held to have been made then.
-        let old = if fresh > 0 { (self.now + 1).saturating_sub(fresh) } else { 0 };
-        purged.max(old)
+        self.purged.since(self.now, k, &self.trace.classes[usize::from(k.class)])
     }
 
     /// How far a transfer at a box is slowed by what is open there, with one more.
@@ -1107,6 +1083,11 @@
         sum
     }
 
+    /// All offices together, second by second, from `from` to `to`.
+    pub fn each(&self, from: usize, to: usize) -> Vec<Sum> {
+        (from..to).map(|s| self.over(s, s + 1)).collect()
+    }
+
     /// One office, from `from` on.
     pub fn office(&self, office: usize) -> Sum {
         let mut sum = Sum::default();
@@ -1138,8 +1119,7 @@
         }
     }
 
-    /// Whether it runs away: what is open at the end, and tries that come again, grow through the load and the worth
-    /// falls with them.
+    /// Whether it runs away: tries that come again grow through the load and the worth falls with them.
     pub fn runs_away(&self) -> bool {
         let from = (self.from / 1_000_000) as usize;
         let third = (self.seconds.len() - from.min(self.seconds.len())) / 3;
--- a/crates/planner/src/reuse.rs
+++ b/crates/planner/src/reuse.rs
@@ -48,27 +48,22 @@
 /// The hit ratio by size of cache.
 #[derive(Clone, Debug, Default)]
 pub struct Curve {
-    /// Distances of requests that a large enough cache serves, with their bytes, by distance.
-    reuses: Vec<(f64, f64)>,
-    /// Requests and their bytes in all, of those followed.
+    /// Distances of requests that a large enough cache serves, in order.
+    reuses: Vec<f64>,
+    /// Requests in all, of those followed.
     requests: f64,
-    bytes: f64,
     /// Requests that a sample should have followed, less those that it did: the most asked for are few, and whether
     /// they are among those followed is chance. They would be reuses at short distances.
     short: f64,
 }
 
 impl Curve {
-    /// The part of requests that a cache of so many bytes serves; in bytes, if so asked.
-    pub fn hits(&self, size: f64, by_bytes: bool) -> f64 {
-        let held = self.reuses.partition_point(|r| r.0 <= size);
-        let (hit, all) = if by_bytes {
-            (self.reuses[..held].iter().map(|r| r.1).sum::<f64>(), self.bytes)
-        } else {
-            (held as f64 + self.short, self.requests + self.short)
-        };
+    /// The part of requests that a cache of so many bytes serves.
+    pub fn hits(&self, size: f64) -> f64 {
+        let held = self.reuses.partition_point(|r| *r <= size) as f64;
+        let all = self.requests + self.short;
         if all > 0.0 {
-            (hit / all).clamp(0.0, 1.0)
+            ((held + self.short) / all).clamp(0.0, 1.0)
         } else {
             0.0
         }
@@ -81,12 +76,12 @@
         if n == 0 {
             return Some(0.0);
         }
-        self.reuses.get(n - 1).map(|r| r.0)
+        self.reuses.get(n - 1).copied()
     }
 
     /// What the largest cache could serve.
     pub fn most(&self) -> f64 {
-        self.hits(f64::INFINITY, false)
+        self.hits(f64::INFINITY)
     }
 }
 
@@ -101,7 +96,6 @@
     let mut c = Curve::default();
     for (i, u) in uses.iter().enumerate() {
         c.requests += 1.0;
-        c.bytes += u.bytes;
         // The copy is as old as the last request that had to make one.
         let mut made = u.at;
         if let Some((at, when, bytes)) = last.get(&u.key).copied() {
@@ -109,7 +103,7 @@
                 let between = sums.before(i) - sums.before(at);
                 // The part itself takes up room as well.
                 let distance = (between - bytes).max(0.0) / sample.clamp(1e-6, 1.0) + u.bytes;
-                c.reuses.push((distance, u.bytes));
+                c.reuses.push(distance);
                 made = when;
             }
             sums.add(at, -bytes);
@@ -118,6 +112,6 @@
         last.insert(u.key, (i, made, u.bytes));
     }
     c.short = total * sample.clamp(1e-6, 1.0) - c.requests;
-    c.reuses.sort_by(|a, b| a.0.total_cmp(&b.0));
+    c.reuses.sort_by(f64::total_cmp);
     c
 }
--- a/crates/planner/src/trace.rs
+++ b/crates/planner/src/trace.rs
@@ -80,6 +80,44 @@
     pub group: u8,
 }
 
+/// What was purged up to now, as a load is gone through.
+#[derive(Debug)]
+pub struct Purged {
+    next: usize,
+    objects: HashMap<u64, u64>,
+    groups: [u64; 256],
+}
+
+impl Default for Purged {
+    fn default() -> Self {
+        Purged { next: 0, objects: HashMap::new(), groups: [0; 256] }
+    }
+}
+
+impl Purged {
+    /// Takes in the purges up to now; those of one load, in order.
+    pub fn turn(&mut self, purges: &[Purge], now: u64) {
+        while let Some(p) = purges.get(self.next).filter(|p| p.at <= now) {
+            match p.object {
+                Some(o) => {
+                    self.objects.insert(o, p.at);
+                }
+                None => self.groups[usize::from(p.group)] = p.at,
+            }
+            self.next += 1;
+        }
+    }
+
+    /// A copy of a part that was made before this will not do: it was purged since, or is no longer fresh.
+    pub fn since(&self, now: u64, key: &Key, class: &ClassHead) -> u64 {
+        let purged =
+            self.objects.get(&key.object).copied().unwrap_or(0).max(self.groups[usize::from(key.group)]);
+        // What was there when the load began is held to have been made then.
+        let old = if class.fresh > 0 { (now + 1).saturating_sub(class.fresh) } else { 0 };
+        purged.max(old)
+    }
+}
+
 /// A member as the list gave it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -114,9 +152,7 @@
     pub flow: f64,
     /// Boxes and hubs, as listed last.
     pub listed: Vec<Listed>,
-    /// Requests recorded, and which part of them were further tries of clients.
-    pub recorded: usize,
-    /// See `recorded`.
+    /// The part of recorded requests that were further tries of clients.
     pub again: f64,
 }
 
@@ -164,7 +200,6 @@
             offices,
             routers: r.heads.len(),
             flow: head.flow_bytes_per_s,
-            recorded: r.rows.len(),
             ..Trace::default()
         };
         let mut index: HashMap<(u64, u32), u32> = HashMap::new();
--- a/crates/planner/tests/forms.rs
+++ b/crates/planner/tests/forms.rs
@@ -97,10 +97,10 @@
             }
         }
         let form: f64 = weights.iter().map(|w| w / sum * (1.0 - (-w / sum * low).exp())).sum();
-        let seen = c.hits(size, false);
+        let seen = c.hits(size);
         assert!((seen - form).abs() < 0.012, "{size}: {seen} against {form}");
         // A fifth of the objects is followed: a cache of less than a hundred holds too few of them to tell.
-        let sample = sampled.hits(size, false);
+        let sample = sampled.hits(size);
         assert!(size < 100.0 || (sample - seen).abs() < 0.1, "{size}: {sample} sampled, {seen} seen");
     }
 }
@@ -137,7 +137,7 @@
         });
         let c = curve(all, 1.0);
         for size in [1usize, 2, 5, 10, 29, 30] {
-            let hits = c.hits(size as f64, false) * uses.len() as f64;
+            let hits = c.hits(size as f64) * uses.len() as f64;
             prop_assert_eq!(hits.round() as usize, plain(&uses, size), "size {}", size);
         }
         prop_assert!(c.most() <= 1.0 && c.size_for(c.most()).is_some());
--- a/crates/planner/tests/plans.rs
+++ b/crates/planner/tests/plans.rs
@@ -36,7 +36,6 @@
         routers: 2,
         flow: 20_000.0,
         span: seconds * 1_000_000,
-        recorded: (seconds * per_s) as usize,
         ..Trace::default()
     };
     for object in 0..2 * shared {
--- a/crates/record/src/write.rs
+++ b/crates/record/src/write.rs
@@ -173,11 +173,6 @@
         Ok(recorder)
     }
 
-    /// Entries dropped since they were last written down.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
-    }
-
     /// Records a closed request.
     pub fn request(&mut self, ended: &Ended) {
         let host = ended.host.as_deref().and_then(|n| self.name(n));
