Count fills in hand at parents where hits are not told; learn sizes from the bytes that came

Counted over all logs, what the routers had out at a parent is what the parent reports.

At fault: room() asks for the load of a parent, but Host::spend counts a fill only where notes tell it, so where nothing is told every parent looks empty and no fill is ever held back; and class means were learnt from latencies, so that a jam looked like large objects and gave itself more room.

Now an attempt that has been out for its class's mean sending time counts as a fill in hand at the parent it names; a parent that all routers together fill to 0.3 of what the aim leaves gets none, and what is held is asked for without a fill: misses come back at once and are refused. Means are learnt from the bytes of answers. The log says which source an attempt named.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -203,6 +203,21 @@
     pub source: Option<Rc<str>>,
 }
 
+/// An attempt that has ended.
+#[derive(Clone, Debug)]
+pub struct Tried {
+    /// Which it was.
+    pub attempt: AttemptId,
+    /// The box that was asked, by name.
+    pub host: Rc<str>,
+    /// The source named with it, by name.
+    pub source: Option<Rc<str>>,
+    /// How it ended.
+    pub status: Status,
+    /// How long it was out.
+    pub took: Time,
+}
+
 /// What the core wants done.
 #[derive(Debug)]
 pub enum Command {
@@ -222,8 +237,8 @@
     Drop(HostId),
     /// A host takes nothing more: what has not gone out to it must not go.
     Hold(HostId),
-    /// An attempt has ended, with how and after how long: for the log.
-    Tried(AttemptId, Rc<str>, Status, Time),
+    /// An attempt has ended: for the log.
+    Tried(Tried),
     /// A request is closed: for the log and the recording.
     Ended(Box<Ended>),
     /// A line for the operator.
@@ -273,6 +288,7 @@
 struct Out {
     mind: Mind,
     host: HostId,
+    source: Option<HostId>,
     sent: Time,
     /// Only named to somebody: it is held to be out for a while, and nothing will be heard of it.
     named: bool,
@@ -308,6 +324,8 @@
     pub seed: u64,
     /// The memory limit in MB: it bounds what is remembered.
     pub memory_mb: u64,
+    /// What a single transfer runs at; 0: not told, so that bytes tell no sending time.
+    pub flow_bytes_per_s: f64,
 }
 
 /// The core of one request router.
@@ -317,6 +335,7 @@
     follow: Option<Follow>,
     classes: Vec<(String, Effect)>,
     settings: Settings,
+    flow: f64,
     filings: Filings,
     /// What the lookup that is under way came to.
     found: Option<Found<Target>>,
@@ -334,13 +353,14 @@
 impl Router {
     /// The core under a setup; clients' requests are decided here, or followed by lookups.
     pub fn new(setup: Setup, follow: bool) -> Result<Router, SettingsError> {
-        let Setup { settings, classes, seed, memory_mb } = setup;
+        let Setup { settings, classes, seed, memory_mb, flow_bytes_per_s: flow } = setup;
         let effects = settings.classes.iter().map(|c| c.effect);
         Ok(Router {
             control: Control::new(settings.clone(), seed)?,
             classes: classes.into_iter().zip(effects).collect(),
             follow: follow.then(|| Follow::new(settings.clone())),
             settings,
+            flow,
             filings: Filings::new(memory_mb),
             found: None,
             members: HashMap::new(),
@@ -566,12 +586,14 @@
     fn on_said(&mut self, now: Time, attempt: AttemptId, said: Said, commands: &mut Vec<Command>) {
         let request = attempt.request;
         let live = self.out.contains_key(&attempt) && self.open.contains_key(&request);
+        let mut work = None;
         let status = match said {
             Said::Absent => Status::Miss,
             Said::Full => Status::Full,
             Said::Failed | Said::Probed(_) => Status::Error,
             Said::Moot => Status::Moot,
             Said::Data(digest, body) => {
+                work = Some(body.len() as f64 / self.flow).filter(|w| w.is_finite());
                 if live {
                     self.reply(now, request, Reply::Good(digest, body), commands);
                 }
@@ -584,13 +606,25 @@
                 Status::Ok
             }
         };
-        self.end(now, attempt, status, commands);
+        self.end_with(now, attempt, status, work, commands);
     }
 
     /// An attempt has ended; later news of it is no news.
     fn end(&mut self, now: Time, attempt: AttemptId, status: Status, commands: &mut Vec<Command>) {
+        self.end_with(now, attempt, status, None, commands);
+    }
+
+    /// The same, with the sending time of what came back.
+    fn end_with(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        status: Status,
+        work: Option<f64>,
+        commands: &mut Vec<Command>,
+    ) {
         let mind = self.out.get(&attempt).map(|o| o.mind);
-        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status, commands)) {
+        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status, work, commands)) {
             self.drive(now, mind, outcome, commands);
         }
     }
@@ -630,14 +664,17 @@
         now: Time,
         attempt: AttemptId,
         status: Status,
+        work: Option<f64>,
         commands: &mut Vec<Command>,
     ) -> Option<Event> {
         let out = self.out.remove(&attempt)?;
         if let Some(open) = self.open.get_mut(&attempt.request) {
             open.last = Some(status);
         }
-        if let Some(uid) = self.members.get(&out.host).map(|m| m.0.clone()).filter(|_| !out.named) {
-            commands.push(Command::Tried(attempt, uid, status, now.saturating_sub(out.sent)));
+        let name = |id: HostId| self.members.get(&id).map(|m| m.0.clone());
+        if let Some(host) = name(out.host).filter(|_| !out.named) {
+            let (source, took) = (out.source.and_then(name), now.saturating_sub(out.sent));
+            commands.push(Command::Tried(Tried { attempt, host, source, status, took }));
         }
         Some(Event::Outcome(Outcome {
             request: attempt.request,
@@ -647,6 +684,7 @@
             status,
             ended: !self.open.contains_key(&attempt.request),
             note: None,
+            work,
         }))
     }
 
@@ -738,7 +776,7 @@
                     return None;
                 }
                 commands.push(Command::Quit(attempt));
-                return self.outcome(now, attempt, Status::Cancelled, commands);
+                return self.outcome(now, attempt, Status::Cancelled, None, commands);
             }
             Action::Refuse { request, retry_after } => {
                 self.reply(now, request, Reply::Refused(retry_after.div_ceil(1_000)), commands)
@@ -778,10 +816,10 @@
         open.attempts += 1;
         let (mind, class) = (open.mind, open.wanted.class);
         let ask = open.from.as_ref().map(|f| f.1.clone());
-        self.out.insert(attempt, Out { mind, host, sent: now, named: ask.is_none() });
+        self.out.insert(attempt, Out { mind, host, source: fill.source, sent: now, named: ask.is_none() });
         let Some(target) = self.target(host, fill) else {
             // It names what takes no work: it can't have run.
-            return self.outcome(now, attempt, Status::Moot, commands);
+            return self.outcome(now, attempt, Status::Moot, None, commands);
         };
         if let Some(open) = self.open.get_mut(&request) {
             open.tried = (Some(target.uid.clone()), target.source.clone());
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -62,10 +62,16 @@
 const ROOM: f64 = 0.9;
 /// A request leaves its drawn cache for a stand-in emptier than this part of that; it costs a fill.
 const SPILL: f64 = 0.2;
-/// A fill goes to parents that are emptier than this part of what its aim leaves: it has a way to go yet.
-const FILL_ROOM: f64 = 0.25;
+/// A fill goes to parents that are emptier than this part of what its aim leaves: it has a way to go yet, and
+/// all dispatchers learn late what all of them sent.
+const FILL_ROOM: f64 = 0.7;
+/// Where hits are not told from fills, an attempt that has been out for this many of its class's mean sending
+/// times counts as a fill in hand at the parent that it names.
+const FILLING: f64 = 1.0;
 /// Own load is averaged over this long to tell others': several requests, yet short against an overload.
 const MEMORY: Time = 3 * SEC;
+/// ...and over this long at parents: what all start there in a second is more than they can bear.
+const FILL_MEMORY: Time = 1_500 * MS;
 /// One's own load at a host counts as this many requests before its like's mean is trusted more.
 const TRUST: f64 = 12.0;
 /// A class's mean sending time is that of so many of its last requests.
@@ -83,8 +89,10 @@
 const HUB_PART: usize = 3;
 /// A host that has answered nobody for this long is not merely jammed.
 const SILENT: Time = 2 * SEC;
-/// Token bits that mark a request's deadline timer rather than an attempt's.
+/// Token bits that mark a request's deadline timer rather than an attempt's, and the timer of an attempt that
+/// may have become a fill.
 const DEADLINE: u64 = 0xffff;
+const MAY_FILL: u64 = 0x8000;
 const RESUBSCRIBE: u64 = u64::MAX;
 
 impl Host {
@@ -102,15 +110,6 @@
     }
 }
 
-impl Learnt {
-    /// Follows the quantile that leaves this tail: a step for each attempt answered, or moved when overdue:
-    /// learnt from answers alone, moving would shorten the time after which it moves.
-    fn pace(&mut self, above: bool, tail: f64) {
-        let step = if above { 1.0 - tail } else { -tail };
-        self.slow = (self.slow * (0.1 * step).exp()).clamp(0.2, 20.0);
-    }
-}
-
 /// The decision module of one dispatcher.
 #[derive(Debug)]
 pub struct Control {
@@ -383,12 +382,13 @@
         if self.settings.weights != Weights::Size || h.entry.weight <= 0.0 {
             return 1.0;
         }
+        let over = if h.role == Role::Parent { FILL_MEMORY } else { MEMORY };
         let alike = || self.fleet.alike(h.role).filter(|x| x.up());
         let (load, size) =
-            (alike().map(|x| x.load(now, MEMORY)).sum::<f64>(), alike().map(|x| x.entry.weight).sum::<f64>());
+            (alike().map(|x| x.load(now, over)).sum::<f64>(), alike().map(|x| x.entry.weight).sum::<f64>());
         let usual = load / size.max(h.entry.weight) * h.entry.weight;
-        let own = h.load(now, MEMORY);
-        let sample = own * secs(MEMORY) / self.unit();
+        let own = h.load(now, over);
+        let sample = own * secs(over) / self.unit();
         let each = usual + (own - usual) * sample / (sample + TRUST);
         let others = f64::from(self.settings.sharing(h.role == Role::Own, h.entry.zone) - 1) * each;
         ((1.0 + f64::from(h.inflight) + others) / h.entry.weight).max(1.0)
@@ -487,13 +487,12 @@
         let far = || elsewhere().into_iter().find(|h| h.up() && ok(h));
         let parent = parents.iter().filter(leads).copied().find(|h| ok(h));
         // Parents without room: fills would only come late, and hold the room of those in time. What is held
-        // is served without, what elsewhere has comes from there.
-        let full = parent.is_some_and(|h| h.up() && self.room(now, &o.r, h) < FILL_ROOM);
-        if near.is_none() && o.tries.len() < 2 && (o.refused || full) {
-            let sibling = far();
-            if sibling.is_some() || full {
-                return sibling.map(|h| h.entry.id);
-            }
+        // is served without. A parent that refused one: what elsewhere has comes from there.
+        if near.is_none() && parent.is_some_and(|h| h.up() && self.room(now, &o.r, h) < FILL_ROOM) {
+            return None;
+        }
+        if let Some(sibling) = far().filter(|_| near.is_none() && o.refused && o.tries.len() < 2) {
+            return Some(sibling.entry.id);
         }
         let first = near.or(parent).or_else(far);
         let last = origin.into_iter().chain(parents.iter().copied()).find(|h| ok(h));
@@ -588,6 +587,9 @@
         let look = self.overdue_after(&o.r) / if trial { 2 } else { 1 };
         let token = u64::from(id) << 16 | o.tries.len() as u64;
         acts.push(Action::timer(look, token));
+        if self.settings.notes == Notes::None && source.is_some_and(|s| self.is_parent(s)) {
+            acts.push(Action::timer((work * FILLING * SEC as f64) as Time, token | MAY_FILL));
+        }
         let old = now.saturating_sub(self.settings.fall_after);
         let source = source.filter(|s| *s != host);
         for id in [Some(host), source].into_iter().flatten() {
@@ -650,9 +652,12 @@
         }
         if let Some(h) = t.source.and_then(|s| self.fleet.hosts.get_mut(&s)) {
             h.trial = false;
+            if t.filling {
+                h.hold(now, FILL_MEMORY, false);
+            }
             if matches!(note, Some(Note::Filled | Note::FilledByOrigin)) {
                 // Only its outcome tells that an attempt was a fill.
-                h.spend(now, MEMORY, out.latency);
+                h.spend(now, FILL_MEMORY, out.latency);
             }
             if note == Some(Note::Hit) {
                 // A hit asked nothing of its source: the budget gets it back.
@@ -771,9 +776,11 @@
         self.lose(0.0);
         let l = &mut self.learnt[usize::from(r.class)];
         l.pace(x > l.slow, tail);
-        // Untold sizes are learnt from hits, less what the crowd at the cache made of them.
-        if r.size_kb.is_none() && (out.note == Some(Note::Hit) || self.settings.notes == Notes::None) {
-            l.learn(secs(out.latency) / crowd, LEARN);
+        // Untold sizes are learnt from what came, else from hits, less what the crowd there made of it.
+        let hit = out.note == Some(Note::Hit) || self.settings.notes == Notes::None;
+        let timed = Some(secs(out.latency) / crowd).filter(|_| hit);
+        if let Some(work) = out.work.or(timed).filter(|_| r.size_kb.is_none()) {
+            l.learn(work, LEARN);
         }
     }
 
@@ -851,8 +858,21 @@
         }
     }
 
+    /// The attempt has been out for as long as its like take to be sent: it is a fill, or waits like one.
+    fn on_filling(&mut self, now: Time, id: RequestId, n: usize) {
+        let t = self.open.get_mut(&id).and_then(|o| o.tries.get_mut(n)).filter(|t| t.out);
+        let Some(t) = t else { return };
+        if let Some(h) = t.source.and_then(|s| self.fleet.hosts.get_mut(&s)) {
+            t.filling = true;
+            h.hold(now, FILL_MEMORY, true);
+        }
+    }
+
     fn on_timer(&mut self, now: Time, token: u64, acts: &mut Vec<Action>) {
         let (id, n) = ((token >> 16) as RequestId, token & 0xffff);
+        if n != DEADLINE && n >= MAY_FILL {
+            return self.on_filling(now, id, (n - MAY_FILL) as usize);
+        }
         let Some(o) = self.open.get(&id).filter(|o| !o.done && !o.stream) else { return };
         if n == DEADLINE {
             let owed: Vec<Try> = o.tries.iter().filter(|t| t.out && !t.looked).cloned().collect();
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -441,6 +441,8 @@
     pub ended: bool,
     /// What is told of the fill.
     pub note: Option<Note>,
+    /// Its own sending time in seconds, where what came back shows it.
+    pub work: Option<f64>,
 }
 
 /// A purge that this dispatcher hears of.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -81,6 +81,8 @@
     pub(crate) out: bool,
     /// It was overdue for long.
     pub(crate) looked: bool,
+    /// It counts as a fill in hand at its source.
+    pub(crate) filling: bool,
     /// It counts as in hand at its host.
     pub(crate) held: bool,
     /// It ended with an error.
@@ -130,6 +132,13 @@
         self.samples = (self.samples + 1.0).min(last);
         self.work += (work - self.work) / self.samples;
     }
+
+    /// Follows the quantile that leaves this tail: a step for each attempt answered, or moved when overdue:
+    /// learnt from answers alone, moving would shorten the time after which it moves.
+    pub(crate) fn pace(&mut self, above: bool, tail: f64) {
+        let step = if above { 1.0 - tail } else { -tail };
+        self.slow = (self.slow * (0.1 * step).exp()).clamp(0.2, 20.0);
+    }
 }
 
 /// Host, source of a fill, rank of the copy, and whether it is a host's trial.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -34,6 +34,8 @@
     seed: String,
     limits: Limits,
     feed: SocketAddr,
+    #[serde(default)]
+    flow_bytes_per_s: f64,
     known: Known,
     settings: Value,
 }
@@ -51,6 +53,8 @@
     pub memory_mb: u64,
     /// Limit of file descriptors.
     pub sockets: usize,
+    /// What a single transfer runs at; 0: not told.
+    pub flow_bytes_per_s: f64,
     /// Where the control feed is.
     pub feed: SocketAddr,
     /// The number of the last event known, and the events.
@@ -93,6 +97,7 @@
             classes: self.names.classes.clone(),
             seed: self.seed,
             memory_mb: self.memory_mb,
+            flow_bytes_per_s: self.flow_bytes_per_s,
         }
     }
 
@@ -136,6 +141,7 @@
             seed,
             memory_mb: file.limits.memory_mb,
             sockets: file.limits.sockets,
+            flow_bytes_per_s: file.flow_bytes_per_s,
             feed: file.feed,
             known: (file.known.n, events),
             settings,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -389,9 +389,11 @@
             Command::Probe(host, addr) => self.probe(host, addr),
             Command::Drop(host) => self.drop_line(host, Fate::Close),
             Command::Hold(host) => self.drop_line(host, Fate::Keep),
-            Command::Tried(attempt, uid, status, took) => {
-                let (request, number) = (attempt.request, attempt.number);
-                debug!(request, attempt = number, shelf = &*uid, ?status, took_us = took, "attempt ended");
+            Command::Tried(t) => {
+                let (request, number) = (t.attempt.request, t.attempt.number);
+                let (shelf, source) = (&*t.host, t.source.as_deref());
+                let (status, took_us) = (t.status, t.took);
+                debug!(request, attempt = number, shelf, source, ?status, took_us, "attempt ended");
             }
             Command::Ended(ended) => self.ended(&ended),
             Command::Log(line) => info!("{line}"),
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -208,6 +208,7 @@
                 attempt: r.u16(21),
                 status: r.status(23)?,
                 ended: r.u8(24) != 0,
+                work: None,
                 note: match r.u8(25) {
                     0 => None,
                     1 => Some(Note::Hit),
