Ask parents straight for what cold caches may not get yet

At fault: plan() passes the caches by only when none is in. Cold caches are in, but their budgets allow a fraction of the office's requests, and the rest was refused though the settings allow straight requests.

Now a request that may be repeated and that no cache may get goes to the first parent in its order that has room as for a fill; the origin stays out of it.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -430,27 +430,27 @@
             return plan(up[i], i, false);
         }
         let any = ring.iter().find(|i| fresh(**i));
-        match any.or(ring.iter().find(|i| fits(**i))) {
-            Some(_) if any.is_some() && safe => return None,
-            Some(&i) => return plan(up[i], i, false),
-            None => {}
-        }
-        // No cache is in: past the caches where that is allowed, else one held to be out.
-        if self.settings.direct && up.is_empty() {
-            let mut past = self.order(o.key, Role::Parent);
-            past.retain(|h| h.up());
+        let spent = !up.is_empty() && safe && any.is_none();
+        // No cache is in, or cold ones may get no more: past them, if allowed, to parents that have room.
+        if self.settings.direct && (up.is_empty() || spent) {
+            let mut past: Vec<_> = self.order(o.key, Role::Parent).into_iter().filter(|h| h.up()).collect();
             let origin = self.order(o.key, Role::Origin);
-            past.extend(origin.iter());
+            past.extend(origin.iter().filter(|_| !spent));
             past.retain(|h| self.lawful(now, o, h));
             past.retain(|h| !o.bad.contains(&h.entry.id) && self.admits(now, h, work));
-            if let Some(h) = past.iter().find(|h| self.room(now, &o.r, h) >= 0.0) {
-                let (host, source) = (h.entry.id, origin.first().map(|o| o.entry.id));
-                return Some(Plan(host, source, 0, false));
+            let least = if spent { FILL_ROOM } else { 0.0 };
+            if let Some(h) = past.iter().find(|h| self.room(now, &o.r, h) >= least) {
+                return Some(Plan(h.entry.id, origin.first().map(|o| o.entry.id), 0, false));
             }
             if safe && !past.is_empty() {
                 return None;
             }
         }
+        match any.or(ring.iter().find(|i| fits(**i))) {
+            Some(_) if any.is_some() && safe => return None,
+            Some(&i) => return plan(up[i], i, false),
+            None => {}
+        }
         let free = |h: &&&Host| !out.contains(&h.entry.id) && self.admits(now, h, work);
         order.iter().find(free).and_then(|h| plan(h, 0, false))
     }
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -462,6 +462,34 @@
     assert!(parents.contains(&22) && parents.contains(&21), "no parent is held to be dead");
 }
 
+/// Guards against refusing a location whose caches have all started anew: what they may not get yet parents serve
+/// straight, as far as that is allowed, and the caches go on being warmed.
+#[test]
+fn what_cold_caches_may_not_get_is_asked_of_parents_straight() {
+    let served = |direct| {
+        let mut bed = Bed::new(Settings { direct, ..settings() });
+        for object in 0..40 {
+            bed.serve(object);
+        }
+        let cold = |i| HostEntry { started: START, ..line(i, 0, 0) };
+        bed.hosts(ListKind::Delta, (1..=4).map(cold).collect());
+        let mut hosts = BTreeMap::new();
+        for object in 1_000..1_200 {
+            bed.now += 5 * MS;
+            if let Some(s) = sent(&bed.ask_of(object, 0, 0)) {
+                let at = if s.host < 10 { "cache" } else { "parent" };
+                assert!(s.host < 10 || s.fill.source == Some(HostId(31)), "{s:?}");
+                *hosts.entry(at).or_insert(0) += 1;
+                bed.end(&s, 0, Status::Ok, Some(Note::Hit));
+            }
+        }
+        (hosts.get("cache").copied().unwrap_or(0), hosts.get("parent").copied().unwrap_or(0))
+    };
+    let ((caches, parents), (alone, none)) = (served(true), served(false));
+    assert!(caches + parents > 180 && caches >= alone, "{caches} at caches, {parents} at parents, of 200");
+    assert!(alone < 150 && none == 0, "{alone} served without parents, {none} at them");
+}
+
 #[test]
 fn with_all_parents_gone_a_sibling_elsewhere_fills() {
     let mut bed = Bed::new(Settings { siblings: Siblings::Any, ..settings() });
