--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -134,7 +134,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Control, SettingsError> {
         settings.check()?;
         // Before anything is seen a class's work is held to be what its aim leaves room for.
-        let learn = |c: &Class| Learnt { work: secs(c.aim), samples: 0.0, slow: 1.5 };
+        let learn = |c: &Class| Learnt { work: secs(c.aim), samples: 0.0, sent: None, slow: 1.5 };
         Ok(Control {
             learnt: settings.classes.iter().map(learn).collect(),
             settings,
@@ -285,9 +285,10 @@
         self.learnt[usize::from(r.class)].work
     }
 
-    /// Its own sending time where that is told, else its class's.
+    /// Its own sending time where that is told, else its class's as far as answers show it.
     fn work(&self, r: &Request) -> f64 {
-        self.settings.told_work(r).unwrap_or(self.mean(r)).max(0.001)
+        let sent = self.learnt[usize::from(r.class)].sent;
+        self.settings.told_work(r).or(sent).unwrap_or(self.mean(r)).max(0.001)
     }
 
     /// What a latency is measured by: the sending time and a little, or the class's aim.
@@ -579,7 +580,7 @@
         let stale = (o.stale && c.fresh > 0).then_some(c.fresh + c.grace);
         let bounds = [stale, self.purge_bound(now, &o.r)];
         let Plan(host, source, keep, trial) = p;
-        let work = self.mean(&o.r);
+        let (work, sends) = (self.mean(&o.r), self.work(&o.r));
         let timeout = o.r.deadline.saturating_sub(now).max(1);
         let max_age = bounds.into_iter().flatten().min();
         let fill = Fill { source, keep, max_age, join: self.settings.joins, renew: c.fresh > 0 };
@@ -588,7 +589,7 @@
         let token = u64::from(id) << 16 | o.tries.len() as u64;
         acts.push(Action::timer(look, token));
         if self.settings.notes == Notes::None && source.is_some_and(|s| self.is_parent(s)) {
-            acts.push(Action::timer((work * FILLING * SEC as f64) as Time, token | MAY_FILL));
+            acts.push(Action::timer((sends * FILLING * SEC as f64) as Time, token | MAY_FILL));
         }
         let old = now.saturating_sub(self.settings.fall_after);
         let source = source.filter(|s| *s != host);
@@ -776,12 +777,11 @@
         self.lose(0.0);
         let l = &mut self.learnt[usize::from(r.class)];
         l.pace(x > l.slow, tail);
-        // Untold sizes are learnt from what came, else from hits, less what the crowd there made of it.
-        let hit = out.note == Some(Note::Hit) || self.settings.notes == Notes::None;
-        let timed = Some(secs(out.latency) / crowd).filter(|_| hit);
-        if let Some(work) = out.work.or(timed).filter(|_| r.size_kb.is_none()) {
-            l.learn(work, LEARN);
+        // Untold sizes are learnt from hits, less what the crowd at the cache made of them.
+        if r.size_kb.is_none() && (out.note == Some(Note::Hit) || self.settings.notes == Notes::None) {
+            l.learn(secs(out.latency) / crowd, LEARN);
         }
+        out.work.into_iter().for_each(|w| l.learn_sent(w, LEARN));
     }
 
     fn tardy(&mut self, r: &Request, id: HostId, latency: Time) {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -123,6 +123,9 @@
     pub(crate) work: f64,
     /// What it was learnt from.
     pub(crate) samples: f64,
+    /// Mean sending time of the bytes that came. What may be sent to cold hosts goes by `work` all the same: that
+    /// holds the waits as well, so it errs on their side, while few answers miss most of a class's large objects.
+    pub(crate) sent: Option<f64>,
     pub(crate) slow: f64,
 }
 
@@ -133,6 +136,12 @@
         self.work += (work - self.work) / self.samples;
     }
 
+    /// The same for the bytes of an answer.
+    pub(crate) fn learn_sent(&mut self, sent: f64, last: f64) {
+        let before = self.sent.unwrap_or(sent);
+        self.sent = Some(before + (sent - before) / self.samples.clamp(1.0, last));
+    }
+
     /// Follows the quantile that leaves this tail: a step for each attempt answered, or moved when overdue:
     /// learnt from answers alone, moving would shorten the time after which it moves.
     pub(crate) fn pace(&mut self, above: bool, tail: f64) {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -793,6 +793,10 @@
             return self.work(from, Work::Fetch(id));
         }
         self.push(from, class);
+        // What pushed its source over went with it.
+        if !self.fetches.contains_key(&id) {
+            return;
+        }
         if let Some(dated) = self.engines[from].cache.find(key, since, 0) {
             return self.begin_fetch(id, dated, None);
         }
