Order siblings elsewhere only where one may be named as a source

Seen on reading the large fleet's change again. source() in control.rs called far() before it asked whether a sibling may be named at all: since each attempt hashed and sorted all caches of other offices (45 on the large fleet) for a result that is thrown away unless a parent had refused. And on_arrive in the laboratory's world looked its own fetch up again to learn that its source had been pushed over, where the other caller of push() asks whether the server still stands.

Now far() runs only when its answer is used, and both callers of push() ask the same.

All tests of the workspace pass, with clippy and fmt.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -492,7 +492,7 @@
         if near.is_none() && parent.is_some_and(|h| h.up() && self.room(now, &o.r, h) < FILL_ROOM) {
             return None;
         }
-        if let Some(sibling) = far().filter(|_| near.is_none() && o.refused && o.tries.len() < 2) {
+        if let Some(sibling) = (near.is_none() && o.refused && o.tries.len() < 2).then(far).flatten() {
             return Some(sibling.entry.id);
         }
         let first = near.or(parent).or_else(far);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -794,7 +794,7 @@
         }
         self.push(from, class);
         // What pushed its source over went with it.
-        if !self.fetches.contains_key(&id) {
+        if self.servers[from].stand != Stand::Up {
             return;
         }
         if let Some(dated) = self.engines[from].cache.find(key, since, 0) {
