Open a door for operators: readiness, true numbers, standby that loses nobody

A lifecycle without I/O is asked by the door, PING and SIGTERM. On standby PING says unfit and /status 503; from 0.4 s on each connection is shut for writing when nothing is open on it and read to its end, so that what a slow reader has not taken yet is not reset away; what comes later than 2 s on one that never paused is refused at once. Ends are counted where a request is closed, attempts when written whole. Descriptors for shelfs make room for the door's eight.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,10 @@
 
 pub mod ask;
 pub mod chain;
+pub mod figures;
 mod filings;
 pub mod follow;
+pub mod lifecycle;
 pub mod members;
 pub mod router;
 
--- /dev/null
+++ b/crates/core/src/lifecycle.rs
@@ -0,0 +1,120 @@
+//! What the router is to its clients at present: starting, ready, on standby, replaced or stopping. Signals, the
+//! operators' calls and a replacement are told here, and connections, requests and readiness ask here. What is open
+//! is not known to it: who has nothing open asks whether he may stay.
+
+use hollymux_decide::{Time, MS};
+
+/// New connections and requests are taken for this long after SIGTERM.
+pub const LINGER: Time = 700 * MS;
+/// A front that is told no sends nobody new 0.2 s later, and asks every 0.1 s: before that a connection that is
+/// closed only comes back.
+const NOTICE: Time = 400 * MS;
+/// On standby a connection that never pauses is closed by refusing what comes on it from then on. What was taken
+/// before keeps its time.
+const PATIENCE: Time = 2_000 * MS;
+/// Whoever connects to a router on standby has so long to begin his first request.
+const FIRST: Time = 100 * MS;
+
+/// What the router is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not everything that it needs is there.
+    Starting,
+    /// Serves.
+    Ready,
+    /// Emptied, or being emptied.
+    Standby,
+    /// Another process has the listening socket; this one serves who is connected.
+    Replaced,
+    /// Ends as soon as what is open is finished.
+    Stopping,
+}
+
+/// What happens to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Everything that it needs is there.
+    Began,
+    /// It is to be emptied.
+    Standby,
+    /// It is to work again.
+    Active,
+    /// Another process takes new connections.
+    Replaced,
+    /// The other process is gone.
+    Alone,
+    /// It is to end.
+    Stop,
+}
+
+/// The state. Standby, replacement and the end are told apart, as each may come during another.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lifecycle {
+    began: bool,
+    standby: Option<Time>,
+    replaced: bool,
+    stopping: Option<Time>,
+}
+
+impl Lifecycle {
+    /// Takes an event; false if it can't be followed, which only the return from an end can't.
+    pub fn on(&mut self, now: Time, event: Event) -> bool {
+        match event {
+            Event::Began => self.began = true,
+            Event::Standby => self.standby = self.standby.or(Some(now)),
+            Event::Active if self.stopping.is_some() => return false,
+            Event::Active => self.standby = None,
+            Event::Replaced => self.replaced = true,
+            Event::Alone => self.replaced = false,
+            Event::Stop => self.stopping = self.stopping.or(Some(now)),
+        }
+        true
+    }
+
+    /// What the router is; the later of two that hold at once in the order of [`Phase`].
+    pub fn phase(&self) -> Phase {
+        match self {
+            Lifecycle { stopping: Some(_), .. } => Phase::Stopping,
+            Lifecycle { replaced: true, .. } => Phase::Replaced,
+            Lifecycle { standby: Some(_), .. } => Phase::Standby,
+            Lifecycle { began: false, .. } => Phase::Starting,
+            _ => Phase::Ready,
+        }
+    }
+
+    /// Whether it says yes when asked if it is ready to serve.
+    pub fn ready(&self) -> bool {
+        self.phase() == Phase::Ready
+    }
+
+    /// Whether new connections are taken. Standby takes them: a front sends some until it has noticed, and whom
+    /// nobody takes is lost.
+    pub fn accepts(&self, now: Time) -> bool {
+        self.began && !self.replaced && !self.lingered(now)
+    }
+
+    /// Whether a request that comes now is served; else it is refused at once.
+    pub fn serves(&self, now: Time) -> bool {
+        self.standby.is_none_or(|at| now < at + PATIENCE)
+    }
+
+    /// Whether a connection stays on which nothing is open. `fresh` since when it has waited for its first request,
+    /// if it does.
+    pub fn stays(&self, now: Time, fresh: Option<Time>) -> bool {
+        let noticed = self.standby.is_some_and(|at| now >= at + NOTICE);
+        let begins = fresh.is_some_and(|at| now < at + FIRST);
+        !self.lingered(now) && (!noticed || begins)
+    }
+
+    /// From when on connections with nothing open are closed.
+    pub fn empties_at(&self) -> Option<Time> {
+        let standby = self.standby.map(|at| at + NOTICE);
+        let stopping = self.stopping.map(|at| at + LINGER);
+        standby.into_iter().chain(stopping).min()
+    }
+
+    /// Whether it is to end and nothing new is taken any more: it ends when nothing is open.
+    pub fn lingered(&self, now: Time) -> bool {
+        self.stopping.is_some_and(|at| now >= at + LINGER)
+    }
+}
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -2,6 +2,7 @@
 //! list. Timed events go in, commands come out; it knows no wire, no socket and no clock.
 
 use crate::ask::{Ask, Reply, Said, Wanted};
+use crate::figures::{End, Figures};
 use crate::filings::Filings;
 use crate::follow::{Follow, Found};
 use crate::members::{Member, Told};
@@ -348,6 +349,10 @@
     next: RequestId,
     /// What has been counted so far.
     pub counters: Counters,
+    /// What operators are shown.
+    pub figures: Figures,
+    /// The places of the classes' numbers there, by class.
+    places: Vec<usize>,
 }
 
 impl Router {
@@ -355,6 +360,8 @@
     pub fn new(setup: Setup, follow: bool) -> Result<Router, SettingsError> {
         let Setup { settings, classes, seed, memory_mb, flow_bytes_per_s: flow } = setup;
         let effects = settings.classes.iter().map(|c| c.effect);
+        let mut figures = Figures::default();
+        let places = classes.iter().map(|name| figures.place(name)).collect();
         Ok(Router {
             control: Control::new(settings.clone(), seed)?,
             classes: classes.into_iter().zip(effects).collect(),
@@ -370,9 +377,50 @@
             out: BTreeMap::new(),
             next: 1,
             counters: Counters::default(),
+            figures,
+            places,
         })
     }
 
+    /// Requests that were taken and have not ended.
+    pub fn owed(&self) -> usize {
+        self.by_client.len()
+    }
+
+    /// How many hosts are listed and avoided.
+    pub fn rotation(&self) -> Rotation {
+        self.control.rotation()
+    }
+
+    /// Counts an end of a request of a class, or an attempt.
+    pub fn count(&mut self, class: u16, end: End) {
+        if let Some(place) = self.places.get(usize::from(class)) {
+            self.figures.count(*place, end);
+        }
+    }
+
+    /// A class by its name.
+    fn class(&self, name: &[u8]) -> Option<u16> {
+        let class = self.classes.iter().position(|c| c.0.as_bytes() == name);
+        class.and_then(|c| u16::try_from(c).ok())
+    }
+
+    /// A request that is refused before it is opened; what there is to say of it.
+    pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<Command> {
+        let class = self.class(&ask.class)?;
+        self.count(class, End::Throttled);
+        let rid = Some(ask.rid.1);
+        let wanted = Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid };
+        Some(unopened(&wanted, now, ask.budget, Closed::Refused, Why::Crowded))
+    }
+
+    /// A request whose fields can't be used: it is failed.
+    pub fn spoilt(&mut self, class: &[u8]) {
+        if let Some(class) = self.class(class) {
+            self.count(class, End::Faulted);
+        }
+    }
+
     /// Whether no request is open.
     pub fn idle(&self) -> bool {
         self.open.is_empty()
@@ -392,6 +440,18 @@
     /// Chooses a box for somebody who will go there himself. It counts as sent until its aim has passed; what
     /// becomes of it is not known and teaches nothing.
     pub fn lookup(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
+        let class = wanted.class;
+        let found = self.name(now, wanted, commands);
+        let end = match &found {
+            Found::Box(_) => End::Fulfilled,
+            Found::Refused => End::Throttled,
+            Found::Failed => End::Faulted,
+        };
+        self.count(class, end);
+        found
+    }
+
+    fn name(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
         self.counters.lookups += 1;
         let once = wanted.rid;
         if let Some(known) = once.and_then(|rid| self.filings.by_id.get(&rid)) {
@@ -480,8 +540,7 @@
 
     fn on_ask(&mut self, now: Time, client: Client, ask: Ask, commands: &mut Vec<Command>) {
         self.counters.taken += 1;
-        let class = self.classes.iter().position(|c| c.0.as_bytes() == ask.class);
-        let Some(class) = class.and_then(|c| u16::try_from(c).ok()) else {
+        let Some(class) = self.class(&ask.class) else {
             self.counters.failed += 1;
             return commands.push(Command::Reply(client, Reply::Failed));
         };
@@ -492,6 +551,7 @@
         let rid = ask.rid.1;
         if self.open_ids.contains(&rid) || limit > 0 && ask.budget * 1_000 > limit {
             self.counters.failed += 1;
+            self.count(class, End::Faulted);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::Unusable));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
@@ -499,12 +559,14 @@
         if once.is_some_and(|rid| self.filings.by_id.contains_key(&rid)) {
             // It was taken before, or somebody was told where to go with it: it may have run.
             self.counters.failed += 1;
+            self.count(class, End::Faulted);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::MayHaveRun));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
         let room = self.open.len() < OPEN_MOST && once.is_none_or(|rid| self.filings.add(now, rid, None));
         if !room {
             self.counters.refused += 1;
+            self.count(class, End::Throttled);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Refused, Why::NoRoom));
             let wait = self.settings.max_retry_after / 1_000;
             return commands.push(Command::Reply(client, Reply::Refused(wait)));
@@ -575,11 +637,13 @@
             // Refused: it never ran, and may be asked for again.
             self.filings.by_id.remove(&rid);
         }
-        *match reply {
-            Reply::Good(..) | Reply::Unchanged(_) => &mut self.counters.served,
-            Reply::Refused(_) => &mut self.counters.refused,
-            Reply::Failed => &mut self.counters.failed,
-        } += 1;
+        let (counter, end) = match reply {
+            Reply::Good(..) | Reply::Unchanged(_) => (&mut self.counters.served, End::Fulfilled),
+            Reply::Refused(_) => (&mut self.counters.refused, End::Throttled),
+            Reply::Failed => (&mut self.counters.failed, End::Faulted),
+        };
+        *counter += 1;
+        self.count(open.wanted.class, end);
         commands.push(Command::Reply(client, reply));
     }
 
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -115,7 +115,7 @@
 pub struct Control {
     settings: Settings,
     rng: rand_pcg::Pcg64Mcg,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     /// Hosts that are or may be cold.
     chilled: BTreeSet<HostId>,
     open: BTreeMap<RequestId, Open>,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -37,11 +37,13 @@
 //! ```
 
 mod control;
+mod insight;
 mod interface;
 mod settings;
 mod state;
 
 pub use control::Control;
+pub use insight::Rotation;
 pub use interface::*;
 pub use settings::{settings_from, Pairs, SettingError};
 pub use state::Purges;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use hollymux_core::chain::Exhausted;
-use hollymux_core::{unopened, Ask, Client, Closed, Reply, Wanted, Why};
+use hollymux_core::{Client, Reply};
 use hollymux_wire::front::{self, Call, Tags};
 use hollymux_wire::resp::Decoder;
 use std::collections::BTreeMap;
@@ -16,6 +16,8 @@
 /// When room is wanted, the connection whose message has been awaited longest is the first to go, then the one
 /// idle longest; each has this long first. What crosses such a close is sent again on a new connection.
 const GRACE: Time = 50 * MS;
+/// A client that was told of a close has so long to take what is on its way and to close as well.
+const LEAVE: Time = 1_000 * MS;
 /// Who withdraws a request sooner than this after it was taken never wanted it.
 const HASTE: Time = 100 * MS;
 /// So many requests withdrawn in haste or beyond those that may be open, with no answer between, end the
@@ -38,12 +40,22 @@
     awaited: Option<Time>,
     /// Requests that a client of the platform would not have sent.
     waste: u32,
+    /// Since when its first message is waited for.
+    first: Option<Time>,
+    /// Since when it is being closed: no more is written on it, and what comes is not read.
+    closing: Option<Time>,
 }
 
 impl ClientConn {
     fn resting(&self) -> bool {
         self.owed.is_empty() && self.out.is_empty()
     }
+
+    /// A message has begun to come, or bytes wait to be read that may be one.
+    fn coming(&self) -> bool {
+        let unread = rustix::io::ioctl_fionread(&self.stream.socket).unwrap_or(0);
+        unread > 0 || self.decoder.midway()
+    }
 }
 
 impl Driver {
@@ -66,6 +78,8 @@
                         used: self.now,
                         awaited: Some(self.now),
                         waste: 0,
+                        first: Some(self.now),
+                        closing: None,
                     };
                     if ready.and_then(|()| self.place(Role::Client(conn))).is_ok() {
                         self.clients += 1;
@@ -118,6 +132,9 @@
     }
 
     fn client_bytes(&mut self, key: Key, conn: &mut ClientConn, mut bytes: &[u8]) -> Fate {
+        if conn.closing.is_some() {
+            return Fate::Keep;
+        }
         conn.used = self.now;
         loop {
             let call = match conn.decoder.feed(&mut bytes) {
@@ -130,17 +147,23 @@
                 Ok(Some(frame)) => front::call(frame),
                 Err(e) => Err(e),
             };
-            conn.awaited = None;
+            (conn.awaited, conn.first) = (None, None);
             let said = match call {
-                Ok(Call::Ping(tag)) => front::fit(&self.pool, tag).map(|c| conn.out.append(c)),
+                Ok(Call::Ping(tag)) => {
+                    front::fit(&self.pool, tag, self.lifecycle.ready()).map(|c| conn.out.append(c))
+                }
                 // A tag used twice: its answers could not be told apart, the client is out of step.
                 Ok(Call::Do(tag, _)) if !conn.tags.take(tag) => return Fate::Close,
-                Ok(Call::Do(tag, None)) => self.say(conn, tag, Reply::Failed),
-                Ok(Call::Do(tag, Some(ask))) => {
+                Ok(Call::Do(tag, Err(class))) => {
+                    self.router.spoilt(&class);
+                    self.say(conn, tag, Reply::Failed)
+                }
+                Ok(Call::Do(tag, Ok(ask))) => {
                     let open = conn.owed.len() >= OPEN_MOST;
-                    if open || self.pool.fuller_than(CROWDED) {
+                    if open || self.pool.fuller_than(CROWDED) || !self.lifecycle.serves(self.now) {
                         conn.waste += u32::from(open);
-                        self.crowded(&ask);
+                        let ended = self.router.turn_away(self.now, &ask);
+                        ended.into_iter().for_each(|e| self.carry_out(e));
                         let wait = self.config.settings.max_retry_after / MS;
                         self.say(conn, tag, Reply::Refused(wait))
                     } else {
@@ -168,16 +191,6 @@
         }
     }
 
-    /// A request that is refused before the core sees it.
-    fn crowded(&mut self, ask: &Ask) {
-        let class = self.router.classes().iter().position(|c| c.0.as_bytes() == ask.class);
-        let Some(class) = class.and_then(|c| u16::try_from(c).ok()) else { return };
-        let rid = Some(ask.rid.1);
-        let wanted = Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid };
-        let ended = unopened(&wanted, self.now, ask.budget, Closed::Refused, Why::Crowded);
-        self.carry_out(ended);
-    }
-
     /// Takes back requests that were read but not handed on yet, so that nothing is sent for them; whether there
     /// was one.
     pub(super) fn unask(&mut self, whose: impl Fn(Client) -> bool) -> bool {
@@ -209,6 +222,7 @@
         let said = self.say(&mut conn, client.tag, reply);
         let full = self.overfull(&conn);
         let fate = if said.is_err() || full { Fate::Close } else { self.flush(client.conn, &mut conn) };
+        self.let_go(&mut conn);
         self.put_back(client.conn, Role::Client(conn), fate);
     }
 
@@ -222,19 +236,29 @@
         }
     }
 
+    /// Closes a connection on which nothing is open, if it may not stay. It is shut for writing only and read to its
+    /// end: a close with bytes unread would reset answers away that a slow reader has not taken yet.
+    fn let_go(&mut self, conn: &mut ClientConn) {
+        let goes = conn.closing.is_none() && conn.resting() && !self.lifecycle.stays(self.now, conn.first);
+        if goes && !conn.coming() {
+            conn.closing = Some(self.now);
+            let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
+        }
+    }
+
     pub(super) fn any_client_owed(&self) -> bool {
         self.places.iter().any(|p| matches!(&p.role, Some(Role::Client(c)) if !c.out.is_empty()))
     }
 
     pub(super) fn client_round(&mut self, conn: &mut ClientConn) -> Fate {
+        self.let_go(conn);
         // Who doesn't read holds buffers that others need.
         let patience = if self.pool.fuller_than(CROWDED) { STUCK / 8 } else { STUCK };
         let stuck = conn.stream.stuck(self.now, patience);
-        let leaving = self.stopping.is_some_and(|at| self.now >= at + LINGER);
-        let done = conn.resting();
-        let idle = done && self.now > conn.used + IDLE;
+        let left = conn.closing.is_some_and(|at| self.now > at + LEAVE);
+        let idle = conn.resting() && self.now > conn.used + IDLE;
         let partial = conn.awaited.is_some_and(|at| self.now > at + WHOLE);
-        if stuck || idle || partial || leaving && done {
+        if stuck || idle || partial || left {
             Fate::Close
         } else {
             Fate::Keep
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -34,6 +34,7 @@
     seed: String,
     limits: Limits,
     feed: SocketAddr,
+    operator: Option<SocketAddr>,
     #[serde(default)]
     flow_bytes_per_s: f64,
     known: Known,
@@ -57,6 +58,8 @@
     pub flow_bytes_per_s: f64,
     /// Where the control feed is.
     pub feed: SocketAddr,
+    /// Where operators call; none: nowhere.
+    pub door: Option<SocketAddr>,
     /// The number of the last event known, and the events.
     pub known: (u64, Vec<Told>),
     /// What the module works by.
@@ -105,7 +108,11 @@
     pub fn load(path: &Path) -> Result<Config, ConfigError> {
         let wrong = |e: &dyn std::fmt::Display| ConfigError(format!("configuration {}: {e}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
-        Config::read(&text).map_err(|e| wrong(&e))
+        let mut config = Config::read(&text).map_err(|e| wrong(&e))?;
+        if let (None, Ok(door)) = (config.door, std::env::var("NODE_OPERATOR")) {
+            config.door = Some(door.parse().map_err(|e| wrong(&format!("NODE_OPERATOR: {e}")))?);
+        }
+        Ok(config)
     }
 
     /// Reads the text of a configuration file.
@@ -143,6 +150,7 @@
             sockets: file.limits.sockets,
             flow_bytes_per_s: file.flow_bytes_per_s,
             feed: file.feed,
+            door: file.operator,
             known: (file.known.n, events),
             settings,
             names,
--- a/crates/node/src/dns.rs
+++ b/crates/node/src/dns.rs
@@ -148,7 +148,7 @@
     }
 
     pub(super) fn dns_round(&mut self, conn: &mut DnsConn) -> Fate {
-        let leaving = self.stopping.is_some_and(|at| self.now >= at + LINGER) && conn.out.is_empty();
+        let leaving = !self.lifecycle.stays(self.now, None) && conn.out.is_empty();
         if leaving || self.now > conn.used + IDLE {
             Fate::Close
         } else {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -82,6 +82,7 @@
         match read {
             Ok(()) => {
                 self.feed_wait = 0;
+                self.begin();
                 Fate::Keep
             }
             Err(e) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod dns;
 mod feed;
+mod operations;
 pub mod operator;
 mod shelfs;
 mod wheel;
@@ -14,10 +15,12 @@
 use dns::{DnsConn, Resolver};
 use feed::Feed;
 use hollymux_core::chain::{Chain, Pool, BUFFER};
+use hollymux_core::lifecycle::{Event, Lifecycle, Phase, LINGER};
 use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
 use hollymux_decide::{HostId, Time, MS};
 use hollymux_record::{Head, Recorder, Sink};
 use hollymux_wire::dns::Name;
+use operations::DoorConn;
 use operator::Operator;
 use rustix::event::epoll::{self, EventFlags};
 use rustix::event::Timespec;
@@ -34,9 +37,7 @@
 use tracing::{debug, info, warn};
 use wheel::Wheel;
 
-/// New connections and requests are taken for this long after SIGTERM.
-const LINGER: Time = 700 * MS;
-/// What is open then has as long as the longest deadline, and this.
+/// What is open at the end has as long as the longest deadline, and this.
 const FINISH: Time = 300 * MS;
 /// How often the driver looks after idle and stuck connections.
 const ROUND: Time = 250 * MS;
@@ -44,8 +45,12 @@
 const PAUSE: Time = 20 * MS;
 /// Clients that may wait to be taken; what overflows it is asked to come again after a second.
 const BACKLOG: i32 = 4_096;
-/// Descriptors for all that is neither a client's connection nor a shelf's.
-const RESERVED: usize = 16;
+/// Descriptors for all that is neither a client's connection nor a shelf's: standard streams, epoll, signals,
+/// listeners, feed, and the operators' connections.
+const RESERVED: usize = 16 + operations::DOOR_MOST;
+/// Who waits for the control feed at the start waits so long at most: a list that comes late is no reason not to
+/// answer.
+const BEGIN: Time = 2_000 * MS;
 /// Reads of one connection in a row.
 const READS: usize = 16;
 /// A connection with output waiting that takes none for this long is closed.
@@ -61,7 +66,9 @@
     Feed,
     Round,
     Listen,
-    Drained,
+    /// Connections with nothing open are to be closed.
+    Empty,
+    Begin,
     Over,
 }
 
@@ -75,6 +82,8 @@
     DnsListener(TcpListener),
     DnsConn(DnsConn),
     Resolver(UdpSocket),
+    DoorListener(TcpListener),
+    DoorConn(DoorConn),
 }
 
 struct Place {
@@ -201,8 +210,9 @@
     feed_at: u64,
     feed_key: Option<Key>,
     feed_wait: Time,
-    /// When SIGTERM came.
-    stopping: Option<Time>,
+    lifecycle: Lifecycle,
+    /// The operators' listener.
+    door: Option<Key>,
     over: bool,
     scratch: Vec<u8>,
 }
@@ -241,7 +251,8 @@
             feed_at: config.known.0,
             feed_key: None,
             feed_wait: 0,
-            stopping: None,
+            lifecycle: Lifecycle::default(),
+            door: None,
             over: false,
             scratch: vec![0; BUFFER],
             config,
@@ -260,8 +271,14 @@
         rustix::net::listen(&listener, BACKLOG)?;
         driver.listener = driver.place(Role::Listener(listener))?;
         driver.open_dns()?;
+        driver.open_door();
         driver.wheel.set(now + ROUND, Timer::Round);
+        driver.wheel.set(now + BEGIN, Timer::Begin);
         driver.open_feed();
+        if driver.router.rotation().listed > 0 {
+            driver.begin();
+        }
+        driver.listen_or_not();
         Ok(driver)
     }
 
@@ -289,9 +306,16 @@
                 Err(e) => return Err(e.into()),
             }
             self.now = self.clock.now();
+            // Operators first: they are few, and wait a second at most.
+            let mut others = Vec::new();
             for event in &events {
-                self.on_event(event.data.u64(), event.flags);
+                let (key, flags) = (event.data.u64(), event.flags);
+                match self.role(key) {
+                    Some(Role::DoorListener(_) | Role::DoorConn(_)) => self.on_event(key, flags),
+                    _ => others.push((key, flags)),
+                }
             }
+            others.into_iter().for_each(|(key, flags)| self.on_event(key, flags));
             for timer in self.wheel.due(self.now) {
                 self.on_timer(timer);
             }
@@ -311,6 +335,8 @@
             Role::DnsListener(l) => self.on_dns_accept(key, l),
             Role::DnsConn(c) => self.on_dns_conn(key, c, flags),
             Role::Resolver(s) => self.on_resolver(s),
+            Role::DoorListener(l) => self.on_door_accept(l),
+            Role::DoorConn(c) => self.on_door_conn(key, c, flags),
         };
         self.put_back(key, role, fate);
         self.settle();
@@ -324,18 +350,54 @@
             Timer::Feed => self.open_feed(),
             Timer::Round => {
                 self.wheel.set(self.now + ROUND, Timer::Round);
+                self.open_door();
                 self.look_after();
             }
             Timer::Listen => self.listen_again(),
-            Timer::Drained => {
-                self.close(self.listener);
+            Timer::Empty => {
+                if self.lifecycle.lingered(self.now) {
+                    self.close(self.listener);
+                }
                 self.look_after();
             }
+            Timer::Begin => self.begin(),
             Timer::Over => self.over = true,
         }
         self.settle();
     }
 
+    /// Everything that is needed to serve is there, or was waited for long enough.
+    fn begin(&mut self) {
+        if self.lifecycle.phase() == Phase::Starting {
+            self.live(Event::Began);
+        }
+    }
+
+    /// Tells the lifecycle of an event and does what follows from it; false if it can't be followed.
+    fn live(&mut self, event: Event) -> bool {
+        let before = self.lifecycle.phase();
+        let done = self.lifecycle.on(self.now, event);
+        let after = self.lifecycle.phase();
+        if let Some(at) = self.lifecycle.empties_at() {
+            self.wheel.set(at, Timer::Empty);
+        }
+        if before != after {
+            info!("{before:?} -> {after:?}");
+        }
+        self.listen_or_not();
+        done
+    }
+
+    /// Asks the listener for new connections while they are to be taken.
+    fn listen_or_not(&mut self) {
+        let flags = if self.lifecycle.accepts(self.now) { EventFlags::IN } else { EventFlags::empty() };
+        let (index, turn) = ((self.listener & u64::from(u32::MAX)) as usize, self.listener >> 32);
+        let place = self.places.get(index).filter(|p| u64::from(p.turn) == turn);
+        if let Some(role @ Role::Listener(_)) = place.and_then(|p| p.role.as_ref()) {
+            let _told = epoll::modify(&self.poll, fd(role), epoll::EventData::new_u64(self.listener), flags);
+        }
+    }
+
     /// What was counted, in one line.
     pub fn summary(&self) -> String {
         let c = self.router.counters;
@@ -373,8 +435,7 @@
                 self.carry_out(command);
             }
         }
-        let lingered = self.stopping.is_some_and(|at| self.now >= at + LINGER);
-        if lingered && self.router.idle() && !self.any_client_owed() {
+        if self.lifecycle.lingered(self.now) && self.router.idle() && !self.any_client_owed() {
             self.over = true;
         }
     }
@@ -437,9 +498,8 @@
         let _drained = pipe.read(&mut bytes);
         if signal == SIGHUP {
             self.read_again();
-        } else if self.stopping.is_none() {
-            self.stopping = Some(self.now);
-            self.wheel.set(self.now + LINGER, Timer::Drained);
+        } else if self.lifecycle.phase() != Phase::Stopping {
+            self.live(Event::Stop);
             let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
             self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
             info!("SIGTERM: finishing what is open");
@@ -470,8 +530,9 @@
                 Role::Shelf(s) => self.shelf_round(s),
                 Role::Feed(f) => self.feed_round(f),
                 Role::DnsConn(c) => self.dns_round(c),
+                Role::DoorConn(c) => self.door_round(c),
                 Role::Listener(_) | Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => Fate::Keep,
-                Role::Signal(..) => Fate::Keep,
+                Role::DoorListener(_) | Role::Signal(..) => Fate::Keep,
             };
             self.put_back(key, role, fate);
         }
@@ -567,6 +628,8 @@
             Role::DnsConn(_) => self.clients -= 1,
             Role::Listener(_) | Role::Signal(..) => {}
             Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => {}
+            Role::DoorListener(_) => self.door = None,
+            Role::DoorConn(_) => {}
         }
     }
 
@@ -597,7 +660,8 @@
         Role::Shelf(s) => s.stream.socket.as_fd(),
         Role::Feed(f) => f.stream.socket.as_fd(),
         Role::DnsUdp(s) | Role::Resolver(s) => s.as_fd(),
-        Role::DnsListener(l) => l.as_fd(),
+        Role::DnsListener(l) | Role::DoorListener(l) => l.as_fd(),
+        Role::DoorConn(c) => c.stream.socket.as_fd(),
         Role::DnsConn(c) => c.stream.socket.as_fd(),
     }
 }
--- /dev/null
+++ b/crates/node/src/operations.rs
@@ -0,0 +1,159 @@
+//! Operators' connections: the second address of the configuration.
+
+use super::*;
+use hollymux_core::figures::Gauges;
+use hollymux_wire::operations::{answer, Asked, Call, Reader};
+use rustix::net::Shutdown;
+
+/// Connections at the door at a time; the oldest that has not finished its call gives way to a new one.
+pub(super) const DOOR_MOST: usize = 8;
+/// So long a caller has for his call, and then for taking the answer.
+const CALL: Time = 5_000 * MS;
+
+pub(super) struct DoorConn {
+    pub(super) stream: Stream,
+    reader: Reader,
+    out: Chain,
+    since: Time,
+    answered: bool,
+}
+
+impl Driver {
+    /// Listens at the operators' address, if there is one. One that is not to be had yet is asked for again: that is
+    /// no reason not to serve.
+    pub(super) fn open_door(&mut self) {
+        let Some(addr) = self.config.door.filter(|_| self.door.is_none()) else { return };
+        let opened = TcpListener::bind(addr).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            self.place(Role::DoorListener(listener))
+        });
+        match opened {
+            Ok(key) => {
+                self.door = Some(key);
+                info!("operators are answered on {}", self.door_at().unwrap_or(addr));
+            }
+            Err(e) => debug!("operators can't be answered on {addr} yet: {e}"),
+        }
+    }
+
+    fn door_at(&mut self) -> Option<SocketAddr> {
+        match self.role(self.door?) {
+            Some(Role::DoorListener(l)) => l.local_addr().ok(),
+            _ => None,
+        }
+    }
+
+    pub(super) fn on_door_accept(&mut self, listener: &mut TcpListener) -> Fate {
+        for _ in 0..READS {
+            let Ok((socket, _)) = listener.accept() else { break };
+            let conns = |(i, p): (usize, &Place)| match &p.role {
+                Some(Role::DoorConn(c)) => Some((c.since, u64::from(p.turn) << 32 | i as u64)),
+                _ => None,
+            };
+            let held: Vec<(Time, Key)> = self.places.iter().enumerate().filter_map(conns).collect();
+            if held.len() >= DOOR_MOST {
+                held.iter().min().into_iter().for_each(|(_, key)| self.close(*key));
+            }
+            let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+            let conn = DoorConn {
+                stream: Stream::new(socket, self.now),
+                reader: Reader::default(),
+                out: self.pool.chain(),
+                since: self.now,
+                answered: false,
+            };
+            // One that can't be served is closed by being dropped.
+            let _placed = ready.and_then(|()| self.place(Role::DoorConn(conn)));
+        }
+        Fate::Keep
+    }
+
+    pub(super) fn on_door_conn(&mut self, key: Key, conn: &mut DoorConn, flags: EventFlags) -> Fate {
+        if flags.contains(EventFlags::OUT) && self.flush_door(key, conn) == Fate::Close {
+            return Fate::Close;
+        }
+        self.read_from(conn, |c| &mut c.stream, |driver, c, bytes| driver.door_bytes(key, c, bytes))
+    }
+
+    fn door_bytes(&mut self, key: Key, conn: &mut DoorConn, bytes: &[u8]) -> Fate {
+        if conn.answered {
+            return Fate::Keep;
+        }
+        let answer = match conn.reader.feed(bytes) {
+            None => return Fate::Keep,
+            Some(Ok(asked)) => self.called(asked),
+            Some(Err(w)) => answer(w.status, w.allow, &format!("no: {}\n", w.status), false),
+        };
+        conn.answered = true;
+        match conn.out.extend(&answer) {
+            Ok(()) => self.flush_door(key, conn),
+            Err(_) => Fate::Close,
+        }
+    }
+
+    fn called(&mut self, asked: Asked) -> Vec<u8> {
+        let done = match asked.call {
+            Call::Status => Ok(format!("{}\n", phase(self.lifecycle.phase()))),
+            Call::Metrics => Ok(self.figures()),
+            Call::Standby => self.change(Event::Standby),
+            Call::Active => self.change(Event::Active),
+        };
+        let status = match (&done, asked.call) {
+            (Err(_), _) => 409,
+            (Ok(_), Call::Status) if !self.lifecycle.ready() => 503,
+            _ => 200,
+        };
+        answer(status, None, &done.unwrap_or_else(|text| text), asked.head_only)
+    }
+
+    fn change(&mut self, event: Event) -> Result<String, String> {
+        let done = self.live(event);
+        let text = format!("{}\n", phase(self.lifecycle.phase()));
+        if done {
+            Ok(text)
+        } else {
+            Err(text)
+        }
+    }
+
+    fn figures(&self) -> String {
+        let rotation = self.router.rotation();
+        self.router.figures.lines(Gauges {
+            open_requests: self.router.owed(),
+            registry_entries: rotation.listed,
+            out_of_rotation: rotation.avoided,
+        })
+    }
+
+    fn flush_door(&mut self, key: Key, conn: &mut DoorConn) -> Fate {
+        match conn.stream.write(&mut conn.out, self.now) {
+            Ok(all) => {
+                self.wait_for(key, &mut conn.stream, !all);
+                if all && conn.answered {
+                    // Read on to the end: a close with bytes unread would reset the answer away.
+                    let _shut = rustix::net::shutdown(&conn.stream.socket, Shutdown::Write);
+                }
+                Fate::Keep
+            }
+            Err(_) => Fate::Close,
+        }
+    }
+
+    pub(super) fn door_round(&mut self, conn: &DoorConn) -> Fate {
+        if self.now > conn.since + CALL {
+            Fate::Close
+        } else {
+            Fate::Keep
+        }
+    }
+}
+
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Starting => "starting",
+        Phase::Ready => "ready",
+        Phase::Standby => "standby",
+        Phase::Replaced => "replaced",
+        Phase::Stopping => "stopping",
+    }
+}
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -1,6 +1,7 @@
 //! Connections to shelfs, parents and the origin.
 
 use super::*;
+use hollymux_core::figures::End;
 use hollymux_core::{Lost, Order, Said};
 use hollymux_decide::Effect;
 use hollymux_wire::resp::{Decoder, RespError};
@@ -151,7 +152,8 @@
 
     /// The descriptors that are for connections to shelfs.
     pub(super) fn shelfs_most(&self) -> usize {
-        self.config.sockets / 2
+        let sockets = self.config.sockets;
+        (sockets - sockets / 3).saturating_sub(RESERVED).min(sockets / 2)
     }
 
     fn dial_shelf(&mut self, host: HostId, addr: SocketAddr) -> io::Result<Key> {
@@ -305,8 +307,12 @@
                     conn.queue.pop_front();
                     conn.used = self.now;
                     for sent in conn.open.values_mut() {
-                        if let Sent::Attempt(given) = sent {
-                            given.whole |= Some(given.id) == attempt;
+                        match sent {
+                            Sent::Attempt(given) if Some(given.id) == attempt => {
+                                given.whole = true;
+                                self.router.count(given.class, End::Relayed);
+                            }
+                            _ => {}
                         }
                     }
                 }
--- a/crates/wire/src/front.rs
+++ b/crates/wire/src/front.rs
@@ -17,8 +17,8 @@
 /// A client's message.
 #[derive(Debug)]
 pub enum Call {
-    /// A request under a tag; `None` if its fields can't be used.
-    Do(u64, Option<Ask>),
+    /// A request under a tag, or the name of its class if its fields can't be used.
+    Do(u64, Result<Ask, Vec<u8>>),
     /// The client stops waiting.
     Undo(u64),
     /// A check.
@@ -61,7 +61,10 @@
 pub fn call(frame: Frame) -> Result<Call, RespError> {
     let tag = frame.words.get(1).and_then(|w| decimal(w)).filter(|t| *t > 0).ok_or(RespError::Malformed)?;
     match (frame.words[0].as_slice(), frame.words.len()) {
-        (b"DO", 3..) => Ok(Call::Do(tag, ask(frame))),
+        (b"DO", 3..) => {
+            let class = frame.words[2].clone();
+            Ok(Call::Do(tag, ask(frame).ok_or(class)))
+        }
         (b"UNDO", 2) => Ok(Call::Undo(tag)),
         (b"PING", 2..=3) => Ok(Call::Ping(tag)),
         _ => Err(RespError::Malformed),
@@ -131,12 +134,12 @@
     [name, value].concat()
 }
 
-/// The answer to a check.
-pub fn fit(pool: &Pool, tag: u64) -> Result<Chain, Exhausted> {
+/// The answer to a check: whether the router may be sent work.
+pub fn fit(pool: &Pool, tag: u64, fit: bool) -> Result<Chain, Exhausted> {
     let mut head = Vec::new();
     array(&mut head, 2);
     bulk(&mut head, tag.to_string().as_bytes());
-    bulk(&mut head, b"fit");
+    bulk(&mut head, if fit { b"fit" } else { b"unfit" });
     let mut out = pool.chain();
     out.extend(&head)?;
     Ok(out)
