Take new settings at SIGHUP, whole or not at all; classes go by name

Seen: of a new file only the feed's address applied. Classes are slots now: one that changes gets a new slot with what was learnt in the old one, requests under way keep theirs, and a slot is used again when nothing holds it. A file is turned down by the field that is missing or no number above 0; the log line names it. A request takes no more attempts than it was taken with, or than are allowed now.

--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -51,6 +51,11 @@
         Follow { settings, purges: Purges::default(), open: BTreeMap::new(), wanted: Vec::new() }
     }
 
+    /// Goes on under other settings, in which the classes of requests under way are the same.
+    pub fn retune(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, acts: &mut Vec<Action>) {
         match event {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod ask;
 pub mod chain;
+pub mod classes;
 pub mod figures;
 mod filings;
 pub mod follow;
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -2,12 +2,13 @@
 //! list. Timed events go in, commands come out; it knows no wire, no socket and no clock.
 
 use crate::ask::{Ask, Reply, Said, Wanted};
+use crate::classes::{Classes, Table};
 use crate::figures::{End, Figures};
 use crate::filings::Filings;
 use crate::follow::{Follow, Found};
 use crate::members::{Member, Told};
 use hollymux_decide::*;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -288,6 +289,7 @@
 #[derive(Debug)]
 struct Out {
     mind: Mind,
+    class: u16,
     host: HostId,
     source: Option<HostId>,
     sent: Time,
@@ -334,7 +336,7 @@
 pub struct Router {
     control: Control,
     follow: Option<Follow>,
-    classes: Vec<(String, Effect)>,
+    classes: Classes,
     settings: Settings,
     flow: f64,
     filings: Filings,
@@ -359,12 +361,13 @@
     /// The core under a setup; clients' requests are decided here, or followed by lookups.
     pub fn new(setup: Setup, follow: bool) -> Result<Router, SettingsError> {
         let Setup { settings, classes, seed, memory_mb, flow_bytes_per_s: flow } = setup;
-        let effects = settings.classes.iter().map(|c| c.effect);
-        let mut figures = Figures::default();
-        let places = classes.iter().map(|name| figures.place(name)).collect();
+        let (mut figures, mut by_name) = (Figures::default(), Classes::default());
+        let named = classes.into_iter().zip(settings.classes.iter().cloned()).collect();
+        let settings = Settings { classes: by_name.change(named, &[], &BTreeSet::new()).classes, ..settings };
+        let places = by_name.names().map(|name| figures.place(name)).collect();
         Ok(Router {
             control: Control::new(settings.clone(), seed)?,
-            classes: classes.into_iter().zip(effects).collect(),
+            classes: by_name,
             follow: follow.then(|| Follow::new(settings.clone())),
             settings,
             flow,
@@ -401,8 +404,7 @@
 
     /// A class by its name.
     fn class(&self, name: &[u8]) -> Option<u16> {
-        let class = self.classes.iter().position(|c| c.0.as_bytes() == name);
-        class.and_then(|c| u16::try_from(c).ok())
+        self.classes.named(name)
     }
 
     /// A request that is refused before it is opened; what there is to say of it.
@@ -426,11 +428,31 @@
         self.open.is_empty()
     }
 
-    /// Classes by number, with how far they may be repeated.
-    pub fn classes(&self) -> &[(String, Effect)] {
+    /// The classes.
+    pub fn classes(&self) -> &Classes {
         &self.classes
     }
 
+    /// The settings in force; classes that nobody can ask for any more are among them.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Goes on under other settings, whose classes have these names; what is impossible changes nothing.
+    pub fn retune(&mut self, settings: &Settings, names: &[String]) -> Result<(), SettingsError> {
+        settings.check()?;
+        let open = self.open.values().map(|o| o.wanted.class);
+        let held: BTreeSet<u16> = open.chain(self.out.values().map(|o| o.class)).collect();
+        let named = names.iter().cloned().zip(settings.classes.iter().cloned()).collect();
+        let Table { classes, from } = self.classes.change(named, &self.settings.classes, &held);
+        self.settings = Settings { classes, ..settings.clone() };
+        self.places = self.classes.names().map(|name| self.figures.place(name)).collect();
+        if let Some(follow) = &mut self.follow {
+            follow.retune(self.settings.clone());
+        }
+        self.control.retune(self.settings.clone(), &from)
+    }
+
     /// The address of a box that takes work, by its name in any case.
     pub fn standing(&self, uid: &[u8]) -> Option<SocketAddr> {
         let mut named = self.members.values().filter(|m| m.0.as_bytes().eq_ignore_ascii_case(uid));
@@ -555,7 +577,7 @@
             commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::Unusable));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
-        let once = wanted.rid.filter(|_| self.classes[usize::from(class)].1 == Effect::Unsafe);
+        let once = wanted.rid.filter(|_| self.classes.effect(class) == Effect::Unsafe);
         if once.is_some_and(|rid| self.filings.by_id.contains_key(&rid)) {
             // It was taken before, or somebody was told where to go with it: it may have run.
             self.counters.failed += 1;
@@ -632,7 +654,7 @@
         };
         self.by_client.remove(&client);
         open.wanted.rid.map(|rid| self.open_ids.remove(&rid));
-        let once = self.classes[usize::from(open.wanted.class)].1 == Effect::Unsafe;
+        let once = self.classes.effect(open.wanted.class) == Effect::Unsafe;
         if let (Some(rid), Reply::Refused(_), true) = (open.wanted.rid, &reply, once) {
             // Refused: it never ran, and may be asked for again.
             self.filings.by_id.remove(&rid);
@@ -880,7 +902,8 @@
         open.attempts += 1;
         let (mind, class) = (open.mind, open.wanted.class);
         let ask = open.from.as_ref().map(|f| f.1.clone());
-        self.out.insert(attempt, Out { mind, host, source: fill.source, sent: now, named: ask.is_none() });
+        self.out
+            .insert(attempt, Out { mind, class, host, source: fill.source, sent: now, named: ask.is_none() });
         let Some(target) = self.target(host, fill) else {
             // It names what takes no work: it can't have run.
             return self.outcome(now, attempt, Status::Moot, None, commands);
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -113,13 +113,13 @@
 /// The decision module of one dispatcher.
 #[derive(Debug)]
 pub struct Control {
-    settings: Settings,
+    pub(crate) settings: Settings,
     rng: rand_pcg::Pcg64Mcg,
     pub(crate) fleet: Fleet,
     /// Hosts that are or may be cold.
     chilled: BTreeSet<HostId>,
-    open: BTreeMap<RequestId, Open>,
-    learnt: Vec<Learnt>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) learnt: Vec<Learnt>,
     counts: Counted,
     purges: Purges,
     retries: f64,
@@ -133,10 +133,8 @@
     /// A module for one dispatcher, or the field of the settings that is impossible.
     pub fn new(settings: Settings, seed: u64) -> Result<Control, SettingsError> {
         settings.check()?;
-        // Before anything is seen a class's work is held to be what its aim leaves room for.
-        let learn = |c: &Class| Learnt { work: secs(c.aim), samples: 0.0, sent: None, slow: 1.5 };
         Ok(Control {
-            learnt: settings.classes.iter().map(learn).collect(),
+            learnt: settings.classes.iter().map(Learnt::new).collect(),
             settings,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
             fleet: Fleet::default(),
@@ -273,6 +271,7 @@
             r,
             key,
             draw: self.rng.next_u64(),
+            most: self.settings.max_attempts,
             ..Open::default()
         };
         self.open.insert(id, open);
@@ -302,7 +301,7 @@
         let ended = |o: &&Open| o.done || o.stream || (o.out() > 0 && !self.settings.second_copies);
         let Some(o) = self.open.get(&id).filter(|o| !ended(o)) else { return };
         let (again, out) = (!o.tries.is_empty(), o.out() > 0);
-        let spent = o.tries.len() >= self.settings.max_attempts as usize || now >= o.r.deadline;
+        let spent = o.tries.len() >= o.most as usize || now >= o.r.deadline;
         let barred = spent || (again && self.retries < 1.0);
         match if barred { None } else { self.plan(now, o) } {
             Some(p) => {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -39,6 +39,7 @@
 mod control;
 mod insight;
 mod interface;
+mod retune;
 mod settings;
 mod state;
 
--- /dev/null
+++ b/crates/decide/src/retune.rs
@@ -0,0 +1,28 @@
+//! Other settings for a module in service.
+
+use crate::control::Control;
+use crate::interface::{Settings, SettingsError};
+use crate::state::Learnt;
+
+impl Control {
+    /// Goes on under other settings; what is impossible changes nothing. `from` tells for each class the one, by its
+    /// number until now, of which it takes what was learnt. Requests under way keep their class's number, which must
+    /// mean the same class as before, and get no more attempts than they were taken with, or than are allowed now.
+    pub fn retune(&mut self, settings: Settings, from: &[Option<usize>]) -> Result<(), SettingsError> {
+        settings.check()?;
+        let learnt = settings.classes.iter().enumerate().map(|(i, class)| {
+            let old = from.get(i).copied().flatten();
+            match old.and_then(|o| Some((self.learnt.get(o)?, self.settings.classes.get(o)?))) {
+                Some((learnt, old)) => learnt.under(old, class),
+                None => Learnt::new(class),
+            }
+        });
+        self.learnt = learnt.collect();
+        for o in self.open.values_mut() {
+            o.most = o.most.min(settings.max_attempts);
+        }
+        self.fleet.assign(&settings);
+        self.settings = settings;
+        Ok(())
+    }
+}
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -17,6 +17,17 @@
     Origin,
 }
 
+impl Role {
+    fn of(s: &Settings, e: &HostEntry) -> Role {
+        match Some(e.kind) {
+            k if k == s.parent_kind => Role::Parent,
+            k if k == s.origin_kind => Role::Origin,
+            _ if e.zone == s.zone => Role::Own,
+            _ => Role::Elsewhere,
+        }
+    }
+}
+
 /// What is known of a host.
 #[derive(Debug, Default)]
 pub(crate) struct Host {
@@ -97,6 +108,8 @@
     pub(crate) write: bool,
     /// The random draw among the blocks that its level opens.
     pub(crate) draw: u64,
+    /// The most attempts that it may take.
+    pub(crate) most: u32,
     pub(crate) done: bool,
     pub(crate) stream: bool,
     /// A source failed: a copy past its fresh time is better than none.
@@ -118,7 +131,7 @@
 }
 
 /// What is learnt of a class: mean work in seconds, and a high quantile of latency over scale.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Learnt {
     pub(crate) work: f64,
     /// What it was learnt from.
@@ -130,6 +143,17 @@
 }
 
 impl Learnt {
+    /// Before anything is seen a class's work is held to be what its aim leaves room for.
+    pub(crate) fn new(class: &Class) -> Learnt {
+        Learnt { work: secs(class.aim), samples: 0.0, sent: None, slow: 1.5 }
+    }
+
+    /// The same under a class whose aim is another: where sizes are not told, latencies are measured by it.
+    pub(crate) fn under(&self, old: &Class, new: &Class) -> Learnt {
+        let scale = secs(old.aim).max(0.001) / secs(new.aim).max(0.001);
+        Learnt { slow: (self.slow * scale).clamp(0.2, 20.0), ..self.clone() }
+    }
+
     /// The mean of the first samples, then of about the last so many.
     pub(crate) fn learn(&mut self, work: f64, last: f64) {
         self.samples = (self.samples + 1.0).min(last);
@@ -209,12 +233,7 @@
             }
         }
         for e in entries {
-            let role = match Some(e.kind) {
-                k if k == s.parent_kind => Role::Parent,
-                k if k == s.origin_kind => Role::Origin,
-                _ if e.zone == s.zone => Role::Own,
-                _ => Role::Elsewhere,
-            };
+            let role = Role::of(s, &e);
             let new = !self.hosts.contains_key(&e.id);
             let h = self.hosts.entry(e.id).or_insert_with(|| Host { entry: e.clone(), ..Host::default() });
             let back = h.entry.state == HostState::Gone && e.state == HostState::Ready;
@@ -223,11 +242,21 @@
             }
             (h.entry, h.role) = (e, role);
         }
+        self.sort();
+        started
+    }
+
+    /// What the hosts are under other settings.
+    pub(crate) fn assign(&mut self, s: &Settings) {
+        self.hosts.values_mut().for_each(|h| h.role = Role::of(s, &h.entry));
+        self.sort();
+    }
+
+    fn sort(&mut self) {
         self.ready.clear();
         for (id, h) in self.hosts.iter().filter(|(_, h)| h.entry.state == HostState::Ready) {
             self.ready.entry(h.role).or_default().push(*id);
         }
-        started
     }
 
     /// Drops hosts that are gone once there are more than so many: successors would pile up for ever.
--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -50,6 +50,8 @@
     pub addr: SocketAddr,
     /// Where DNS is answered, if it is.
     pub dns: Option<SocketAddr>,
+    /// Where operators are answered, if they are.
+    pub door: Option<SocketAddr>,
     lines: Receiver<String>,
     dir: PathBuf,
 }
@@ -94,6 +96,11 @@
         Node::spawn(&config(feed.addr).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}")), &[])
     }
 
+    /// A router with this configuration.
+    pub fn configured(config: &str) -> Node {
+        Node::spawn(config, &[])
+    }
+
     pub fn with_dns(feed: &Feed, dns: &str) -> Node {
         Node::with_operator(feed, &format!("{{dns: {{{dns}}}}}"))
     }
@@ -109,7 +116,7 @@
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (tx, lines) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| tx.send(l).is_ok()));
-        let (mut addr, mut answers) = (None, None);
+        let (mut addr, mut answers, mut door) = (None, None, None);
         while addr.is_none() {
             let line = lines.recv_timeout(LONG).expect("the program says where it listens");
             // Behind the words in text, up to the quote in JSON.
@@ -118,12 +125,13 @@
                 rest.split([' ', '"']).next()?.parse().ok()
             };
             addr = addr.or_else(|| word("listening on "));
+            door = door.or_else(|| word("operators are answered on "));
             if line.contains("DNS for") {
                 answers = word(" on ");
             }
         }
         let dir = path.parent().unwrap().to_path_buf();
-        Node { child, addr: addr.unwrap(), dns: answers, lines, dir }
+        Node { child, addr: addr.unwrap(), dns: answers, door, lines, dir }
     }
 
     pub fn signal(&self, name: &str) {
--- a/crates/hollymux/tests/common/standins.rs
+++ b/crates/hollymux/tests/common/standins.rs
@@ -298,6 +298,14 @@
         self.send(&array(&[b"DO", tag.as_bytes(), class.as_bytes(), fields.as_bytes(), b"a body"]));
     }
 
+    /// A request, if the connection still takes it.
+    pub fn try_ask(&mut self, tag: u32, class: &str, rid: u64) -> bool {
+        let fields = format!("rid={rid:016x},budget=1500,piece=0,lot=17,obj=0000000000000007");
+        let words: [&[u8]; 5] =
+            [b"DO", &tag.to_string().into_bytes(), class.as_bytes(), fields.as_bytes(), b""];
+        self.out.write_all(&array(&words)).is_ok()
+    }
+
     /// An answer as words, or the end of the connection.
     pub fn answer(&mut self) -> String {
         let words = read_array(&mut self.input);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,8 @@
 //! The platform's configuration file, JSON.
 
+use crate::renewal;
 use hollymux_core::{Setup, Told};
-use hollymux_decide::{settings_from, Pairs, Settings, Time};
+use hollymux_decide::{settings_from, Pairs, Settings, SettingsError, Time};
 use hollymux_wire::events::Names;
 use serde::Deserialize;
 use serde_json::Value;
@@ -14,6 +15,12 @@
 #[error("{0}")]
 pub struct ConfigError(String);
 
+impl From<SettingsError> for ConfigError {
+    fn from(e: SettingsError) -> ConfigError {
+        ConfigError(e.to_string())
+    }
+}
+
 #[derive(Deserialize)]
 struct Limits {
     memory_mb: u64,
@@ -70,12 +77,18 @@
     pub streams: usize,
     /// Connections idle for this long are closed by the other side.
     pub idle: Time,
+    /// The file as it was read.
+    pub file: Value,
 }
 
 /// Nested JSON as the simulator's paths and values.
 fn flatten(path: &str, value: &Value, map: &mut BTreeMap<String, String>) {
     let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
-    let text = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_string);
+    // A whole number is one however it is written.
+    let whole =
+        |v: &Value| v.as_f64().filter(|n| n.fract() == 0.0 && n.abs() < 1e15).map(|n| format!("{n:.0}"));
+    let text =
+        |v: &Value| v.as_str().map(str::to_string).or_else(|| whole(v)).unwrap_or_else(|| v.to_string());
     match value {
         Value::Object(fields) => fields.iter().for_each(|(k, v)| flatten(&below(k), v, map)),
         Value::Array(items) if items.iter().any(Value::is_object) => {
@@ -104,6 +117,11 @@
         }
     }
 
+    /// Whether another configuration may take the place of this one.
+    pub(crate) fn gives_way_to(&self, new: &Config) -> Result<(), ConfigError> {
+        renewal::fault(&self.file, &new.file).map_or(Ok(()), |fault| Err(ConfigError(fault)))
+    }
+
     /// Reads the file.
     pub fn load(path: &Path) -> Result<Config, ConfigError> {
         let wrong = |e: &dyn std::fmt::Display| ConfigError(format!("configuration {}: {e}", path.display()));
@@ -118,7 +136,8 @@
     /// Reads the text of a configuration file.
     pub fn read(text: &str) -> Result<Config, ConfigError> {
         let wrong = |e: &dyn std::fmt::Display| ConfigError(e.to_string().replace('\n', " "));
-        let file: File = serde_json::from_str(text).map_err(|e| wrong(&e))?;
+        let whole: Value = serde_json::from_str(text).map_err(|e| wrong(&e))?;
+        let file = File::deserialize(&whole).map_err(|e| wrong(&e))?;
         let mut map = BTreeMap::new();
         flatten("", &file.settings, &mut map);
         let p = Pairs::new(map);
@@ -156,6 +175,7 @@
             names,
             streams,
             idle,
+            file: whole,
         })
     }
 }
--- a/crates/node/src/dns.rs
+++ b/crates/node/src/dns.rs
@@ -196,7 +196,7 @@
 
     /// Asks where a request is to go.
     pub(super) fn look(&mut self, request: RequestId, wanted: &Wanted) {
-        let once = self.router.classes()[usize::from(wanted.class)].1 == Effect::Unsafe;
+        let once = self.router.classes().effect(wanted.class) == Effect::Unsafe;
         let wanted = Wanted { rid: wanted.rid.filter(|_| once), ..wanted.clone() };
         let name = routing::name_of(&wanted, &self.zone, self.router.classes());
         let Some(name) = name.filter(|_| self.resolver.asked.len() < ASKED_MOST) else {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,17 +7,18 @@
 mod feed;
 mod operations;
 pub mod operator;
+mod renewal;
 mod shelfs;
 mod wheel;
 
 use clients::ClientConn;
-use config::Config;
+use config::{Config, ConfigError};
 use dns::{DnsConn, Resolver};
 use feed::Feed;
 use hollymux_core::chain::{Chain, Pool, BUFFER};
 use hollymux_core::lifecycle::{Event, Lifecycle, Phase, LINGER};
 use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
-use hollymux_decide::{HostId, Time, MS};
+use hollymux_decide::{HostId, Settings, Time, MS};
 use hollymux_record::{Head, Recorder, Sink};
 use hollymux_wire::dns::Name;
 use operations::DoorConn;
@@ -246,7 +247,7 @@
             shelf_conns: 0,
             resolver: Resolver::new(config.seed),
             zone: operator.dns.as_ref().map(|d| d.name()).unwrap_or_default(),
-            recorder: recorder(&operator, &config)?,
+            recorder: recorder(&operator, &config, config.names.classes.clone(), &config.settings)?,
             operator,
             feed_at: config.known.0,
             feed_key: None,
@@ -477,7 +478,7 @@
         if let Some(recorder) = &mut self.recorder {
             recorder.request(e);
         }
-        let class = self.router.classes().get(usize::from(e.wanted.class)).map_or("", |c| c.0.as_str());
+        let class = self.router.classes().name(e.wanted.class);
         debug!(
             request = e.request,
             rid = format_args!("{:016x}", e.wanted.rid.unwrap_or_default()),
@@ -500,23 +501,46 @@
             self.read_again();
         } else if self.lifecycle.phase() != Phase::Stopping {
             self.live(Event::Stop);
-            let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            let longest = self.router.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
             self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
             info!("SIGTERM: finishing what is open");
         }
         Fate::Keep
     }
 
-    /// Reads the configuration file again. Of a new file only the feed's address applies; whatever is open, known
-    /// or learnt is kept. One that can't be used changes nothing.
+    /// Reads the configuration file again. Of a new file the settings and the feed's address apply; whatever is open,
+    /// known or learnt is kept. All of it applies or nothing.
     fn read_again(&mut self) {
-        match Config::load(&self.path) {
+        let new = Config::load(&self.path).and_then(|new| self.config.gives_way_to(&new).map(|()| new));
+        let applied = new.and_then(|new| {
+            let retuned = self.router.retune(&new.settings, &new.names.classes);
+            retuned.map(|()| new).map_err(ConfigError::from)
+        });
+        match applied {
             Ok(new) => {
-                info!("SIGHUP: the control feed is at {}", new.feed);
-                self.config.feed = new.feed;
+                self.router.figures.cfg_accepted += 1;
+                info!("SIGHUP: {} classes; the control feed is at {}", new.names.classes.len(), new.feed);
+                let here = &mut self.config;
+                (here.feed, here.settings, here.names) = (new.feed, new.settings, new.names);
+                (here.streams, here.idle, here.file) = (new.streams, new.idle, new.file);
+                self.record_anew();
                 self.call_feed_anew();
             }
-            Err(e) => warn!("SIGHUP: the old configuration stays: {e}"),
+            Err(e) => {
+                self.router.figures.cfg_invalid += 1;
+                warn!("SIGHUP: the old configuration stays: {e}");
+            }
+        }
+    }
+
+    /// What is recorded has the classes in its head: other classes begin another file.
+    fn record_anew(&mut self) {
+        if self.recorder.take().is_some() {
+            let names = self.router.classes().names().map(str::to_string).collect();
+            match recorder(&self.operator, &self.config, names, self.router.settings()) {
+                Ok(recorder) => self.recorder = recorder,
+                Err(e) => warn!("the load is not recorded any more: {e}"),
+            }
         }
     }
 
@@ -644,10 +668,15 @@
 }
 
 /// What records the load, if the operator wants it recorded.
-fn recorder(operator: &Operator, config: &Config) -> io::Result<Option<Recorder>> {
+fn recorder(
+    operator: &Operator,
+    config: &Config,
+    classes: Vec<String>,
+    settings: &Settings,
+) -> io::Result<Option<Recorder>> {
     let Some(r) = &operator.record else { return Ok(None) };
     let names = &config.names;
-    let head = Head::new(&config.name, &names.zones, &names.kinds, &names.classes, &config.settings);
+    let head = Head::new(&config.name, &names.zones, &names.kinds, &classes, settings);
     let sink = Sink::new(&r.dir, head, r.file_mb << 20, r.files)?;
     Recorder::start(sink, r.queue).map(Some)
 }
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -211,7 +211,7 @@
         let Some((id, Sent::Attempt(given))) = given.filter(|_| !conn.unqueue(attempt)) else {
             return self.put_back(key, Role::Shelf(conn), Fate::Keep);
         };
-        let class = |g: &Given| self.config.settings.classes.get(usize::from(g.class));
+        let class = |g: &Given| self.router.settings().classes.get(usize::from(g.class));
         let overdue = class(&given).is_some_and(|c| now > given.since + c.aim);
         // An answer that is overdue may never come, nor any other on its connection: what may be repeated is
         // repeated elsewhere, what may not can only wait.
@@ -282,7 +282,7 @@
     }
 
     fn fits(&self, given: &Given, said: &Said) -> bool {
-        let writes = self.config.settings.classes.get(usize::from(given.class)).is_some_and(|c| c.write);
+        let writes = self.router.settings().classes.get(usize::from(given.class)).is_some_and(|c| c.write);
         shelf::fits(said, given.held.as_deref(), writes)
     }
 
--- a/crates/wire/src/events.rs
+++ b/crates/wire/src/events.rs
@@ -10,7 +10,7 @@
 pub struct EventError(String);
 
 /// Names that the sockets use where the module has numbers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Names {
     /// Classes, by number.
     pub classes: Vec<String>,
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -8,6 +8,7 @@
 use crate::front::hex16;
 use crate::resp::decimal;
 use crate::shelf::fill_fields;
+use hollymux_core::classes::Classes;
 use hollymux_core::{FillHint, Hint, Target, Wanted};
 use hollymux_decide::{Effect, Time};
 use std::net::{IpAddr, SocketAddr};
@@ -40,7 +41,7 @@
 }
 
 /// What a name is in a zone with these classes.
-pub fn place(name: &Name, zone: &Name, classes: &[(String, Effect)]) -> Place {
+pub fn place(name: &Name, zone: &Name, classes: &Classes) -> Place {
     let Some(below) = name.strip_suffix(zone.as_slice()) else { return Place::Elsewhere };
     let Some(first) = below.last() else { return Place::Apex };
     if first == BOX {
@@ -53,30 +54,29 @@
     wanted(below, classes).unwrap_or(Place::Nowhere)
 }
 
-fn wanted(below: &[Vec<u8>], classes: &[(String, Effect)]) -> Option<Place> {
+fn wanted(below: &[Vec<u8>], classes: &Classes) -> Option<Place> {
     let mut labels = below.iter().rev();
     let label = labels.next()?;
-    let class = classes.iter().position(|c| c.0.as_bytes().eq_ignore_ascii_case(label))?;
+    let class = classes.named_in_any_case(label)?;
     let Some(object) = labels.next() else { return Some(Place::Between) };
     let object = hex16(object)?;
     let Some(part) = labels.next() else { return Some(Place::Between) };
     let part = lettered(part, b'p')?;
     let Some(group) = labels.next() else { return Some(Place::Between) };
     let group = lettered(group, b'g').filter(|g| *g < 256)?;
-    let once = classes[class].1 == Effect::Unsafe;
+    let once = classes.effect(class) == Effect::Unsafe;
     let rid = match (labels.next(), once) {
         (None, true) => return Some(Place::Between),
         (None, false) => None,
         (Some(rid), true) => Some(hex16(rid.strip_prefix(b"r")?)?),
         (Some(_), false) => return None,
     };
-    let class = u16::try_from(class).ok()?;
     labels.next().is_none().then_some(Place::Wanted(Wanted { class, object, part, group, rid }))
 }
 
 /// The name that asks for that.
-pub fn name_of(w: &Wanted, zone: &Name, classes: &[(String, Effect)]) -> Option<Name> {
-    let class = classes.get(usize::from(w.class))?.0.to_ascii_lowercase().into_bytes();
+pub fn name_of(w: &Wanted, zone: &Name, classes: &Classes) -> Option<Name> {
+    let class = classes.name(w.class).to_ascii_lowercase().into_bytes();
     let mut name: Name = w.rid.iter().map(|r| format!("r{r:016x}").into_bytes()).collect();
     name.push(format!("g{}", w.group).into_bytes());
     name.push(format!("p{}", w.part).into_bytes());
