Replace a process in service: it hands over the listening socket and what it knows

Seen: a second start of run could not bind and exited 1; 21 requests were lost when the first one ended. The new process now calls the old one at a socket in TMPDIR and gets the listening socket itself (one accept queue, so nothing in it is reset), the list, drains, purges, filings and what was learnt. It catches up with the feed, asks for the connections and says yes once the old one takes none. Limits and cold budgets are shared while both live.

--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -41,6 +41,14 @@
         inner.out as f64 > inner.most as f64 * part
     }
 
+    /// Another bound. What is out stays out; nothing more is given until less than that is.
+    pub fn limit(&self, most: usize) {
+        let mut inner = self.0.borrow_mut();
+        inner.most = most.max(1);
+        let kept = inner.most / KEPT;
+        inner.free.truncate(kept);
+    }
+
     /// How many bytes it may have out.
     pub fn bytes(&self) -> usize {
         self.0.borrow().most * BUFFER
--- a/crates/core/src/filings.rs
+++ b/crates/core/src/filings.rs
@@ -1,5 +1,6 @@
 //! Requests that may not be repeated, remembered by id so that none runs twice.
 
+use crate::legacy::Filing;
 use hollymux_decide::{HostId, Time};
 use std::collections::{HashMap, VecDeque};
 
@@ -17,12 +18,14 @@
     /// In the order in which they came, those among them that are no longer remembered too.
     order: VecDeque<(Time, u64)>,
     pub(crate) most: usize,
+    /// Those that came since they were last asked for, if somebody is to hear of them.
+    pub(crate) fresh: Option<Vec<Filing>>,
 }
 
 impl Filings {
     pub(crate) fn new(memory_mb: u64) -> Filings {
         let most = usize::try_from(memory_mb).unwrap_or(FILINGS).saturating_mul(FILINGS_PER_MB).min(FILINGS);
-        Filings { by_id: HashMap::new(), order: VecDeque::new(), most }
+        Filings { by_id: HashMap::new(), order: VecDeque::new(), most, fresh: None }
     }
 
     /// Remembers one; false if there is no room and nothing is old enough to be forgotten.
@@ -39,6 +42,9 @@
         if room {
             self.by_id.insert(rid, (now, host));
             self.order.push_back((now, rid));
+            if let Some(fresh) = &mut self.fresh {
+                fresh.push((rid, now, host.map(|h| h.0)));
+            }
         }
         room
     }
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -51,6 +51,11 @@
         Follow { settings, purges: Purges::default(), open: BTreeMap::new(), wanted: Vec::new() }
     }
 
+    /// Takes the purges that another router knew.
+    pub fn recall(&mut self, now: Time, memory: &Memory) {
+        self.purges.recall(now, &memory.purges, memory.floor, PURGES);
+    }
+
     /// Goes on under other settings, in which the classes of requests under way are the same.
     pub fn retune(&mut self, settings: Settings) {
         self.settings = settings;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod figures;
 mod filings;
 pub mod follow;
+pub mod legacy;
 pub mod lifecycle;
 pub mod members;
 pub mod router;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -93,23 +93,35 @@
         self.began && !self.replaced && !self.lingered(now)
     }
 
-    /// Whether a request that comes now is served; else it is refused at once.
+    /// Whether a request that comes now is served; else it is refused at once. At an end only a process that was
+    /// replaced refuses any: its clients don't know of it and go on as long as their connections do, and what came
+    /// later than that is lost if the process is killed over it.
     pub fn serves(&self, now: Time) -> bool {
-        self.standby.is_none_or(|at| now < at + PATIENCE)
+        let standby = self.standby.is_none_or(|at| now < at + PATIENCE);
+        standby && !(self.replaced && self.lingered(now))
     }
 
     /// Whether a connection stays on which nothing is open. `fresh` since when it has waited for its first request,
     /// if it does.
     pub fn stays(&self, now: Time, fresh: Option<Time>) -> bool {
         let noticed = self.standby.is_some_and(|at| now >= at + NOTICE);
+        // Whoever is let go by a process that was replaced finds the other one.
+        let replaced = self.replaced && self.stopping.is_some();
         let begins = fresh.is_some_and(|at| now < at + FIRST);
-        !self.lingered(now) && (!noticed || begins)
+        let lingered = self.lingered(now) && !self.replaced;
+        !lingered && (!noticed && !replaced || begins)
+    }
+
+    /// Whether it ends with connections still open on which nothing is: their clients know that it ends. Those of a
+    /// process that was replaced are let go one by one.
+    pub fn drops(&self) -> bool {
+        !self.replaced
     }
 
     /// From when on connections with nothing open are closed.
     pub fn empties_at(&self) -> Option<Time> {
         let standby = self.standby.map(|at| at + NOTICE);
-        let stopping = self.stopping.map(|at| at + LINGER);
+        let stopping = self.stopping.map(|at| if self.replaced { at } else { at + LINGER });
         standby.into_iter().chain(stopping).min()
     }
 
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -6,6 +6,7 @@
 use crate::figures::{End, Figures};
 use crate::filings::Filings;
 use crate::follow::{Follow, Found};
+use crate::legacy::{Filing, Legacy, Line};
 use crate::members::{Member, Told};
 use hollymux_decide::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -355,6 +356,8 @@
     pub figures: Figures,
     /// The places of the classes' numbers there, by class.
     places: Vec<usize>,
+    /// Routers that work at this one's place as well.
+    further: u32,
 }
 
 impl Router {
@@ -382,6 +385,7 @@
             counters: Counters::default(),
             figures,
             places,
+            further: 0,
         })
     }
 
@@ -423,6 +427,72 @@
         }
     }
 
+    /// Shares cold budgets with another process that works at this one's place, or no longer.
+    pub fn share(&mut self, with_another: bool) {
+        self.further = u32::from(with_another);
+        self.control.share(self.further);
+    }
+
+    /// What another router needs to go on in this one's place; the driver adds the names of zones and kinds, and how
+    /// far it has heard the control feed. From now on `new_filings` tells what comes.
+    pub fn legacy(&mut self) -> Legacy {
+        let line = |(uid, m): &(Rc<str>, Member)| Line {
+            uid: uid.to_string(),
+            addr: m.addr,
+            zone: m.entry.zone,
+            kind: m.entry.kind,
+            cell: m.entry.cell,
+            weight: m.entry.weight,
+            draining: m.entry.state == HostState::Draining,
+            started: m.entry.started,
+        };
+        let mut members: Vec<Line> = self.members.values().map(line).collect();
+        members.sort_by(|a, b| a.uid.cmp(&b.uid));
+        let filing = |(rid, f): (&u64, &(Time, Option<HostId>))| (*rid, f.0, f.1.map(|h| h.0));
+        let mut filings: Vec<Filing> = self.filings.by_id.iter().map(filing).collect();
+        filings.sort_unstable_by_key(|f| (f.1, f.0));
+        self.filings.fresh = Some(Vec::new());
+        Legacy {
+            classes: self.classes.names().map(str::to_string).collect(),
+            members,
+            filings,
+            memory: self.control.remember(),
+            ..Legacy::default()
+        }
+    }
+
+    /// The requests that may not be repeated and came since this was asked last, if a legacy was handed over.
+    pub fn new_filings(&mut self) -> Vec<Filing> {
+        self.filings.fresh.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// Nobody is to hear of new filings any more.
+    pub fn keep_filings(&mut self) {
+        self.filings.fresh = None;
+    }
+
+    /// Requests that another router took and that may have run: they are never taken here.
+    pub fn recall_filings(&mut self, now: Time, filings: &[Filing]) {
+        for (rid, at, host) in filings {
+            let _room = self.filings.add((*at).min(now), *rid, host.map(HostId));
+        }
+    }
+
+    /// Goes on with another router's legacy, after its list of members was told here.
+    pub fn recall(&mut self, now: Time, legacy: &Legacy) {
+        self.recall_filings(now, &legacy.filings);
+        let mut memory = legacy.memory.clone();
+        let learnt = std::mem::take(&mut memory.classes);
+        // The newest slot of a name comes last there.
+        let by_name = |name: &str| legacy.classes.iter().zip(&learnt).rev().find(|(n, _)| *n == name);
+        memory.classes =
+            self.classes.names().map(|n| by_name(n).map(|l| l.1.clone()).unwrap_or_default()).collect();
+        self.control.recall(now, &memory);
+        if let Some(follow) = &mut self.follow {
+            follow.recall(now, &memory);
+        }
+    }
+
     /// Whether no request is open.
     pub fn idle(&self) -> bool {
         self.open.is_empty()
@@ -450,7 +520,10 @@
         if let Some(follow) = &mut self.follow {
             follow.retune(self.settings.clone());
         }
-        self.control.retune(self.settings.clone(), &from)
+        self.control.share(0);
+        self.control.retune(self.settings.clone(), &from)?;
+        self.control.share(self.further);
+        Ok(())
     }
 
     /// The address of a box that takes work, by its name in any case.
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -117,14 +117,14 @@
     rng: rand_pcg::Pcg64Mcg,
     pub(crate) fleet: Fleet,
     /// Hosts that are or may be cold.
-    chilled: BTreeSet<HostId>,
+    pub(crate) chilled: BTreeSet<HostId>,
     pub(crate) open: BTreeMap<RequestId, Open>,
     pub(crate) learnt: Vec<Learnt>,
-    counts: Counted,
-    purges: Purges,
-    retries: f64,
+    pub(crate) counts: Counted,
+    pub(crate) purges: Purges,
+    pub(crate) retries: f64,
     /// Share of attempts without an answer from a host that lives, smoothed.
-    lost: f64,
+    pub(crate) lost: f64,
     subscribed: bool,
     logged: Time,
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -39,6 +39,7 @@
 mod control;
 mod insight;
 mod interface;
+mod memory;
 mod retune;
 mod settings;
 mod state;
@@ -46,5 +47,6 @@
 pub use control::Control;
 pub use insight::Rotation;
 pub use interface::*;
+pub use memory::{ClassMemory, HostMemory, Memory};
 pub use settings::{settings_from, Pairs, SettingError};
 pub use state::Purges;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -220,6 +220,8 @@
 pub(crate) struct Fleet {
     pub(crate) hosts: BTreeMap<HostId, Host>,
     ready: BTreeMap<Role, Vec<HostId>>,
+    /// Dispatchers that use them beyond those that the settings name.
+    pub(crate) further: u32,
 }
 
 impl Fleet {
@@ -275,8 +277,8 @@
 /// When what was purged last.
 #[derive(Debug, Default)]
 pub struct Purges {
-    at: BTreeMap<(bool, u64), Time>,
-    floor: Time,
+    pub(crate) at: BTreeMap<(bool, u64), Time>,
+    pub(crate) floor: Time,
 }
 
 impl Purges {
@@ -286,6 +288,10 @@
         let key = p.object.map_or((true, u64::from(p.group)), |o| (false, o));
         let e = self.at.entry(key).or_insert(at);
         *e = at.max(*e);
+        self.trim(most);
+    }
+
+    pub(crate) fn trim(&mut self, most: usize) {
         while self.at.len() > most {
             self.floor = self.floor.max(self.at.pop_first().map_or(0, |p| p.1));
         }
--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -110,9 +110,20 @@
         Node::spawn(&config(feed.addr), &["serve", "--operator", operator.to_str().unwrap()])
     }
 
+    /// A router that another one can replace, or that replaces another one: they meet in that folder.
+    pub fn meeting(config: &str, dir: &std::path::Path) -> Node {
+        let path = file("config.json", config);
+        let mut command = command(&path, &[]);
+        Node::wait(command.env("TMPDIR", dir), &path)
+    }
+
     fn spawn(config: &str, args: &[&str]) -> Node {
         let path = file("config.json", config);
-        let mut child = command(&path, args).spawn().unwrap();
+        Node::wait(command(&path, args).env_remove("TMPDIR"), &path)
+    }
+
+    fn wait(command: &mut Command, path: &std::path::Path) -> Node {
+        let mut child = command.spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (tx, lines) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| tx.send(l).is_ok()));
--- /dev/null
+++ b/crates/hollymux/tests/replacement.rs
@@ -0,0 +1,245 @@
+//! One process replaces another while clients go on.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+struct Bed {
+    feed: Feed,
+    shelfs: [Shelf; 3],
+    /// Clients' address, the same for all processes.
+    addr: SocketAddr,
+    /// Where processes meet.
+    dir: PathBuf,
+}
+
+impl Bed {
+    fn new(does: Does) -> Bed {
+        let feed = Feed::start();
+        let shelfs = [does.clone(), does.clone(), does].map(Shelf::start);
+        let [a, b, origin] = &shelfs;
+        let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
+        feed.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
+        // A port of the system's choice that is free again by now.
+        let addr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let dir = file("nothing", "").parent().unwrap().to_path_buf();
+        Bed { feed, shelfs, addr, dir }
+    }
+
+    /// A process for that address, once it says yes.
+    fn start(&self) -> Node {
+        let listen = format!("\"listen\":\"{}\"", self.addr);
+        let config = config(self.feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen);
+        let start = Instant::now();
+        let node = Node::meeting(&config.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1), &self.dir);
+        until("a yes", || ready(&node).then_some(()));
+        assert!(start.elapsed() < Duration::from_secs(6), "ready after {:?}", start.elapsed());
+        node
+    }
+
+    fn meeting(&self) -> PathBuf {
+        self.dir.join(format!("hollymux-{}-{}.sock", self.addr.ip(), self.addr.port()))
+    }
+
+    fn served(&self) {
+        let mut client = Client::connect(self.addr);
+        assert!(client.get(1, "docs", fresh(), 7).contains("good"));
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        let _gone = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn fresh() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1 << 32);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn ready(node: &Node) -> bool {
+    let mut socket = TcpStream::connect(node.door.unwrap()).unwrap();
+    socket.write_all(b"GET /status HTTP/1.1\r\nHost: router\r\n\r\n").unwrap();
+    let mut text = String::new();
+    socket.read_to_string(&mut text).unwrap();
+    text.starts_with("HTTP/1.1 200")
+}
+
+/// A client that goes on from connection to connection; what it asked, what was answered, what it sent again.
+fn load(addr: SocketAddr, over: &AtomicBool) -> (u64, u64, u64) {
+    let (mut asked, mut answered, mut again) = (0, 0, 0);
+    let mut client = Client::connect(addr);
+    let mut tag = 0;
+    while !over.load(Ordering::Relaxed) {
+        let rid = fresh();
+        asked += 1;
+        for _ in 0..2 {
+            tag += 1;
+            let answer = if client.try_ask(tag, "docs", rid) { client.answer() } else { "end".into() };
+            if answer.starts_with(&format!("{tag} good")) {
+                answered += 1;
+                break;
+            }
+            // It crossed the end of its connection, or was refused because its process ends.
+            again += 1;
+            client = Client::connect(addr);
+        }
+    }
+    (asked, answered, again)
+}
+
+/// Guards against a replacement that loses, refuses or repeats anything, twice in a row, and against an old process
+/// that stays.
+#[test]
+fn nothing_is_lost_over_two_replacements() {
+    let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
+    let mut old = bed.start();
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..6)
+        .map(|_| {
+            let (addr, over) = (bed.addr, over.clone());
+            thread::spawn(move || load(addr, &over))
+        })
+        .collect();
+    let mut started = Vec::new();
+    for _ in 0..2 {
+        thread::sleep(Duration::from_millis(150));
+        let new = bed.start();
+        assert!(!ready(&old), "whom another one replaced takes nobody new");
+        old.signal("-TERM");
+        let (status, log) = old.ended();
+        assert!(status.success(), "{log:?}");
+        assert!(log.iter().any(|l| l.contains("invariants broken: 0")), "{log:?}");
+        new.says("the process that was replaced has ended");
+        started.push(std::mem::replace(&mut old, new));
+    }
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        let (asked, answered, again) = client.join().unwrap();
+        assert_eq!(asked, answered, "each is served");
+        assert!(again <= 4, "{again} of {asked} were sent again");
+    }
+    let mut rids: Vec<String> = bed.shelfs.iter().flat_map(Shelf::asked).map(|a| a.rid).collect();
+    let all = rids.len();
+    rids.sort();
+    rids.dedup();
+    assert!(all - rids.len() <= 24, "{} of {all} ran again", all - rids.len());
+    bed.served();
+}
+
+/// Guards against a filing that runs again at the process that takes over, whether it came before or during that.
+#[test]
+fn no_filing_runs_twice_over_a_replacement() {
+    let bed = Bed::new(Does::Nothing);
+    let old = bed.start();
+    let mut client = Client::connect(bed.addr);
+    client.ask(1, "cert-filing", 0xf1, ",obj=0000000000000009");
+    let runs = |rid: &str| -> usize {
+        bed.shelfs.iter().map(|s| s.asked().iter().filter(|a| a.rid.ends_with(rid)).count()).sum()
+    };
+    until("the first", || (runs("00f1") == 1).then_some(()));
+    let _new = bed.start();
+    // The old one's connection is still open: what it takes now, the new one is told.
+    client.ask(2, "cert-filing", 0xf2, ",obj=0000000000000009");
+    until("the second", || (runs("00f2") == 1).then_some(()));
+    let mut other = Client::connect(bed.addr);
+    assert_eq!(other.get(1, "cert-filing", 0xf1, 9), "1 broken");
+    assert_eq!(other.get(2, "cert-filing", 0xf2, 9), "2 broken");
+    assert_eq!((runs("00f1"), runs("00f2")), (1, 1));
+    drop(old);
+}
+
+/// Guards against a drain that the new process has not heard of, as its feed is silent.
+#[test]
+fn a_drain_is_handed_over_though_the_feed_is_silent() {
+    let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
+    let _old = bed.start();
+    bed.feed.members(false, &[line("s-a", bed.shelfs[0].addr, "std", "draining")]);
+    thread::sleep(Duration::from_millis(300));
+    bed.feed.fail(bed.feed.calls().len() + 1, usize::MAX);
+    let before = bed.shelfs[0].count();
+    let _new = bed.start();
+    let mut client = Client::connect(bed.addr);
+    for tag in 1..40 {
+        assert!(client.get(tag, "docs", fresh(), tag.into()).contains("good"));
+    }
+    assert_eq!(bed.shelfs[0].count(), before);
+    assert!(bed.shelfs[1].count() >= 39);
+}
+
+/// Guards against an old process that stops serving because the new one dies on the way, at whichever step.
+#[test]
+fn whoever_dies_on_the_way_leaves_the_old_one_serving() {
+    let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
+    let old = bed.start();
+    let hello = {
+        let listen = bed.addr.to_string();
+        let head = [b'h', b'm', b'x', 1, 1, 0, 0, 0, listen.len() as u8 + 1, listen.len() as u8];
+        [&head[..], listen.as_bytes()].concat()
+    };
+    let take = [b'h', b'm', b'x', 1, 3, 0, 0, 0, 0];
+    let steps: [&[&[u8]]; 5] = [&[], &[&hello[..6]], &[&hello], &[&hello, &take], &[b"anything else at all"]];
+    for (i, said) in steps.iter().enumerate() {
+        let mut dying = until("a meeting", || UnixStream::connect(bed.meeting()).ok());
+        dying.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        for words in *said {
+            dying.write_all(words).unwrap();
+            let mut bytes = [0; 4096];
+            let _answer = dying.read(&mut bytes);
+        }
+        assert_eq!(ready(&old), i != 3, "step {i}");
+        drop(dying);
+        until("the old one's return", || ready(&old).then_some(()));
+        bed.served();
+    }
+    // And a real one can still take over, also when the old one is on standby.
+    let mut door = TcpStream::connect(old.door.unwrap()).unwrap();
+    door.write_all(b"PUT /standby HTTP/1.1\r\n\r\n").unwrap();
+    let mut text = String::new();
+    door.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    let _new = bed.start();
+    bed.served();
+}
+
+/// Guards against a start that waits for what is not there: a stale socket, one that hangs, one that says anything.
+#[test]
+fn a_start_gets_by_without_the_old_one() {
+    let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
+    drop(UnixListener::bind(bed.meeting()).unwrap());
+    assert!(bed.meeting().exists());
+    drop(bed.start());
+    for answer in [None, Some(&b"anything else at all"[..]), Some(&b"hmx\x01\x06\0\0\0\0"[..])] {
+        let _gone = std::fs::remove_file(bed.meeting());
+        let hangs = UnixListener::bind(bed.meeting()).unwrap();
+        let (done, stop) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        hangs.set_nonblocking(true).unwrap();
+        let (d, s) = (done.clone(), stop.clone());
+        let thread = thread::spawn(move || {
+            let mut held = Vec::new();
+            while !s.load(Ordering::Relaxed) {
+                if let Ok((mut socket, _)) = hangs.accept() {
+                    answer.into_iter().for_each(|a| socket.write_all(a).unwrap());
+                    held.push(socket);
+                    d.store(true, Ordering::Relaxed);
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+        });
+        let node = bed.start();
+        assert!(done.load(Ordering::Relaxed), "it was called");
+        bed.served();
+        stop.store(true, Ordering::Relaxed);
+        thread.join().unwrap();
+        drop(node);
+    }
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -61,6 +61,9 @@
 impl Driver {
     pub(super) fn on_accept(&mut self, key: Key, listener: &mut TcpListener) -> Fate {
         for _ in 0..READS {
+            if !self.lifecycle.accepts(self.now) {
+                break;
+            }
             // Whom there is no room for waits in the backlog.
             if self.clients >= self.clients_most() && !self.evict() {
                 self.pause(key, listener);
@@ -99,7 +102,7 @@
     /// The descriptors that are for clients: the platform's hold a third of all at most, so what is above that is
     /// for those that only take them up.
     pub(super) fn clients_most(&self) -> usize {
-        let sockets = self.config.sockets;
+        let sockets = self.sockets();
         (sockets - self.shelfs_most()).saturating_sub(RESERVED).max(sockets / 3)
     }
 
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -68,6 +68,9 @@
         feed.heard = self.now;
         let mut events = Vec::new();
         let read = feed.reader.feed(bytes, &mut events);
+        if !events.is_empty() || self.feed_told == 0 {
+            self.feed_told = self.now;
+        }
         for event in events {
             match self.config.names.event(&event) {
                 // Told again after a new call: known already.
@@ -82,7 +85,7 @@
         match read {
             Ok(()) => {
                 self.feed_wait = 0;
-                self.begin();
+                self.begin(false);
                 Fate::Keep
             }
             Err(e) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod dns;
 mod feed;
+mod handover;
 mod operations;
 pub mod operator;
 mod renewal;
@@ -15,7 +16,9 @@
 use config::{Config, ConfigError};
 use dns::{DnsConn, Resolver};
 use feed::Feed;
+use handover::Peer;
 use hollymux_core::chain::{Chain, Pool, BUFFER};
+use hollymux_core::legacy::Legacy;
 use hollymux_core::lifecycle::{Event, Lifecycle, Phase, LINGER};
 use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
 use hollymux_decide::{HostId, Settings, Time, MS};
@@ -32,7 +35,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{debug, info, warn};
@@ -69,7 +72,10 @@
     Listen,
     /// Connections with nothing open are to be closed.
     Empty,
+    /// The control feed was waited for long enough, or has told all; the old process's last word is overdue.
     Begin,
+    Quiet,
+    Yours,
     Over,
 }
 
@@ -85,6 +91,9 @@
     Resolver(UdpSocket),
     DoorListener(TcpListener),
     DoorConn(DoorConn),
+    Meeting(UnixListener),
+    Heir(Peer),
+    Forebear(Peer),
 }
 
 struct Place {
@@ -214,6 +223,16 @@
     lifecycle: Lifecycle,
     /// The operators' listener.
     door: Option<Key>,
+    /// Where a process that replaces this one calls; that process; the one that this one replaces.
+    meeting: Option<Key>,
+    heir: Option<Key>,
+    forebear: Option<Key>,
+    /// What that one handed over, until this one serves.
+    legacy: Option<Box<Legacy>>,
+    /// Limits are shared with one of them.
+    shared: bool,
+    /// When the control feed told something last.
+    feed_told: Time,
     over: bool,
     scratch: Vec<u8>,
 }
@@ -226,8 +245,7 @@
         let follows = operator.dns.as_ref().is_some_and(|d| d.follow.is_some());
         let router = Router::new(config.setup(), follows).map_err(io::Error::other)?;
         let known = std::mem::take(&mut config.known.1);
-        // A third of the memory may lie in buffers; the module and the sockets need the rest.
-        let pool = Pool::new((config.memory_mb as usize) * (1 << 20) / 3 / BUFFER);
+        let pool = Pool::new(pool_most(&config));
         let mut driver = Driver {
             poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
             clock,
@@ -254,6 +272,12 @@
             feed_wait: 0,
             lifecycle: Lifecycle::default(),
             door: None,
+            meeting: None,
+            heir: None,
+            forebear: None,
+            legacy: None,
+            shared: false,
+            feed_told: 0,
             over: false,
             scratch: vec![0; BUFFER],
             config,
@@ -267,17 +291,25 @@
         }
         known.into_iter().for_each(|told| driver.tell(told));
         driver.settle();
-        let listener = TcpListener::bind(driver.config.listen)?;
-        listener.set_nonblocking(true)?;
-        rustix::net::listen(&listener, BACKLOG)?;
+        let listen = driver.config.listen;
+        let heritage = handover::meeting(listen).map_or(Ok(None), |path| handover::call(&path, listen));
+        let heritage = heritage.unwrap_or_else(|e| {
+            warn!("the process that serves this address hands nothing over, starting from nothing: {e}");
+            None
+        });
+        driver.now = driver.clock.now();
+        let listener = match heritage {
+            Some(heritage) => driver.inherit(heritage)?,
+            None => listener(listen)?,
+        };
         driver.listener = driver.place(Role::Listener(listener))?;
         driver.open_dns()?;
         driver.open_door();
         driver.wheel.set(now + ROUND, Timer::Round);
-        driver.wheel.set(now + BEGIN, Timer::Begin);
+        driver.wheel.set(driver.now + BEGIN, Timer::Begin);
         driver.open_feed();
-        if driver.router.rotation().listed > 0 {
-            driver.begin();
+        if driver.forebear.is_none() && driver.router.rotation().listed > 0 {
+            driver.began();
         }
         driver.listen_or_not();
         Ok(driver)
@@ -338,6 +370,9 @@
             Role::Resolver(s) => self.on_resolver(s),
             Role::DoorListener(l) => self.on_door_accept(l),
             Role::DoorConn(c) => self.on_door_conn(key, c, flags),
+            Role::Meeting(l) => self.on_meeting(l),
+            Role::Heir(p) => self.on_heir(key, p, flags),
+            Role::Forebear(p) => self.on_forebear(key, p, flags),
         };
         self.put_back(key, role, fate);
         self.settle();
@@ -361,19 +396,14 @@
                 }
                 self.look_after();
             }
-            Timer::Begin => self.begin(),
+            Timer::Begin => self.begin(true),
+            Timer::Quiet => self.begin(false),
+            Timer::Yours => self.began(),
             Timer::Over => self.over = true,
         }
         self.settle();
     }
 
-    /// Everything that is needed to serve is there, or was waited for long enough.
-    fn begin(&mut self) {
-        if self.lifecycle.phase() == Phase::Starting {
-            self.live(Event::Began);
-        }
-    }
-
     /// Tells the lifecycle of an event and does what follows from it; false if it can't be followed.
     fn live(&mut self, event: Event) -> bool {
         let before = self.lifecycle.phase();
@@ -436,7 +466,9 @@
                 self.carry_out(command);
             }
         }
-        if self.lifecycle.lingered(self.now) && self.router.idle() && !self.any_client_owed() {
+        self.tell_heir();
+        let gone = self.lifecycle.drops() || self.clients == 0;
+        if self.lifecycle.lingered(self.now) && gone && self.router.idle() && !self.any_client_owed() {
             self.over = true;
         }
     }
@@ -503,6 +535,7 @@
             self.live(Event::Stop);
             let longest = self.router.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
             self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
+            self.wheel.set(self.now + LINGER, Timer::Empty);
             info!("SIGTERM: finishing what is open");
         }
         Fate::Keep
@@ -556,7 +589,8 @@
                 Role::DnsConn(c) => self.dns_round(c),
                 Role::DoorConn(c) => self.door_round(c),
                 Role::Listener(_) | Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => Fate::Keep,
-                Role::DoorListener(_) | Role::Signal(..) => Fate::Keep,
+                Role::DoorListener(_) | Role::Signal(..) | Role::Meeting(_) | Role::Forebear(_) => Fate::Keep,
+                Role::Heir(p) => self.heir_round(p),
             };
             self.put_back(key, role, fate);
         }
@@ -653,7 +687,9 @@
             Role::Listener(_) | Role::Signal(..) => {}
             Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => {}
             Role::DoorListener(_) => self.door = None,
-            Role::DoorConn(_) => {}
+            Role::DoorConn(_) | Role::Meeting(_) => {}
+            Role::Heir(_) => self.heir_closed(),
+            Role::Forebear(_) => self.forebear_closed(),
         }
     }
 
@@ -667,6 +703,25 @@
     }
 }
 
+/// A third of the memory may lie in buffers; the module and the sockets need the rest.
+fn pool_most(config: &Config) -> usize {
+    (config.memory_mb as usize) * (1 << 20) / 3 / BUFFER
+}
+
+/// A listener at the clients' address that does not keep another process from listening there as well: one that
+/// replaces this one but gets no answer from it.
+fn listener(addr: SocketAddr) -> io::Result<TcpListener> {
+    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    // Where it can't be had, a process that gets no answer can't listen.
+    let _shared = sockopt::set_socket_reuseport(&socket, true);
+    rustix::net::bind(&socket, &addr)?;
+    rustix::net::listen(&socket, BACKLOG)?;
+    Ok(TcpListener::from(socket))
+}
+
 /// What records the load, if the operator wants it recorded.
 fn recorder(
     operator: &Operator,
@@ -691,6 +746,8 @@
         Role::DnsUdp(s) | Role::Resolver(s) => s.as_fd(),
         Role::DnsListener(l) | Role::DoorListener(l) => l.as_fd(),
         Role::DoorConn(c) => c.stream.socket.as_fd(),
+        Role::Meeting(l) => l.as_fd(),
+        Role::Heir(p) | Role::Forebear(p) => p.socket.as_fd(),
         Role::DnsConn(c) => c.stream.socket.as_fd(),
     }
 }
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -152,7 +152,7 @@
 
     /// The descriptors that are for connections to shelfs.
     pub(super) fn shelfs_most(&self) -> usize {
-        let sockets = self.config.sockets;
+        let sockets = self.sockets();
         (sockets - sockets / 3).saturating_sub(RESERVED).min(sockets / 2)
     }
 
@@ -379,7 +379,8 @@
         let idle = (self.config.idle as f64 * IDLE_PART) as Time;
         let unused = conn.open.is_empty() && conn.queue.is_empty();
         let stuck = conn.up && conn.stream.stuck(self.now, STUCK);
-        if conn.up && unused && (conn.leaving || self.now > conn.used + idle) || stuck {
+        let beyond = self.shared && self.shelf_conns > self.shelfs_most();
+        if conn.up && unused && (conn.leaving || beyond || self.now > conn.used + idle) || stuck {
             Fate::Close
         } else {
             Fate::Keep
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod dns;
 pub mod events;
 pub mod front;
+pub mod handover;
 pub mod operations;
 pub mod resp;
 pub mod routing;
