--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -89,7 +89,7 @@
             }
         }
         reader.feed(&bytes[..got]);
-        match reader.next().map_err(|e| e.to_string())? {
+        match reader.message().map_err(|e| e.to_string())? {
             Some(Message::Legacy(legacy)) => {
                 let listener = TcpListener::from(listener.ok_or("it gave no listening socket")?);
                 if listener.local_addr().ok() != Some(listen) {
@@ -259,7 +259,7 @@
                     Err(_) => return Fate::Close,
                 }
                 loop {
-                    let message = peer.reader.next();
+                    let message = peer.reader.message();
                     if let Ok(None) = message {
                         break;
                     }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -87,7 +87,7 @@
     }
 
     /// The next whole message; none: there is more to come.
-    pub fn next(&mut self) -> Result<Option<Message>, Unreadable> {
+    pub fn message(&mut self) -> Result<Option<Message>, Unreadable> {
         let start = self.bytes.len().min(MAGIC.len());
         if self.bytes[..start] != MAGIC[..start] {
             return Err(Unreadable);
@@ -144,7 +144,7 @@
         let (mut reader, mut read) = (Reader::default(), Vec::new());
         for byte in bytes {
             reader.feed(&[byte]);
-            read.extend(reader.next().unwrap());
+            read.extend(reader.message().unwrap());
         }
         assert_eq!(read, all());
     }
@@ -158,14 +158,14 @@
             bytes[3] = VERSION + 1;
             let mut reader = Reader::default();
             reader.feed(&bytes);
-            let read = reader.next().unwrap().unwrap();
+            let read = reader.message().unwrap().unwrap();
             let same = std::mem::discriminant(&read) == std::mem::discriminant(&message);
             assert!(same, "{message:?} is read as {read:?}");
             assert_ne!(read, all()[1]);
         }
         let mut reader = Reader::default();
         reader.feed(&[b'h', b'm', b'x', VERSION, 2, 0xff, 0, 0, 0]);
-        assert_eq!(reader.next(), Err(Unreadable));
+        assert_eq!(reader.message(), Err(Unreadable));
     }
 
     proptest! {
@@ -180,7 +180,7 @@
             for bytes in [bytes, body] {
                 let mut reader = Reader::default();
                 reader.feed(&bytes);
-                while let Ok(Some(message)) = reader.next() {
+                while let Ok(Some(message)) = reader.message() {
                     if let Message::Legacy(Some(legacy)) = message {
                         let _told = legacy.told(&[], &[]);
                     }
