--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -309,6 +309,8 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
+    /// Refused before they were opened: too much on their connection, in the buffers, or the router empties.
+    pub turned_away: u64,
     /// Lookups answered.
     pub lookups: u64,
     /// Attempts sent.
@@ -413,6 +415,7 @@
 
     /// A request that is refused before it is opened; what there is to say of it.
     pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<Command> {
+        self.counters.turned_away += 1;
         let class = self.class(&ask.class)?;
         self.count(class, End::Throttled);
         let rid = Some(ask.rid.1);
--- a/crates/hollymux/tests/operations.rs
+++ b/crates/hollymux/tests/operations.rs
@@ -166,6 +166,34 @@
     assert!(back.get(2, "docs", 301, 7).contains("good"), "nobody is let go any more");
 }
 
+/// Guards against a connection on which something is open at all times: it has no moment at which it could be closed
+/// without a loss, and must have gone 4 s after the call all the same, each request answered once.
+#[test]
+fn standby_ends_connections_that_never_pause() {
+    let bed = bed(Does::Nothing);
+    let mut busy = Client::connect(bed.node.addr);
+    assert_eq!(call(bed.door, "PUT /standby").0, 200);
+    let (start, mut asked) = (Instant::now(), 0);
+    // Each takes 1.5 s to fail: there are always some open.
+    while start.elapsed() < Duration::from_millis(2_700) {
+        asked += 1;
+        assert!(busy.try_ask(asked, "docs", 400 + u64::from(asked)), "it is held while something is open");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let mut answers = std::collections::BTreeSet::new();
+    loop {
+        let answer = busy.answer();
+        if answer == "end" {
+            break;
+        }
+        let (tag, word) = answer.split_once(' ').unwrap();
+        assert!(answers.insert(tag.parse::<u32>().unwrap()), "{tag} is answered twice");
+        assert!(word.starts_with("refused") || word == "broken", "{answer}");
+    }
+    assert!(start.elapsed() < Duration::from_millis(3_900), "held for {:?}", start.elapsed());
+    assert_eq!(answers.len() as u32, asked, "each is answered");
+}
+
 /// Guards against a SIGHUP that applies half a file, and against requests whose class changes under them.
 #[test]
 fn new_settings_apply_whole_or_not_at_all() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -433,8 +433,8 @@
     pub fn summary(&self) -> String {
         let c = self.router.counters;
         format!(
-            "took {} requests: {} served, {} refused, {} failed; {} attempts, {} lookups; invariants broken: {}",
-            c.taken, c.served, c.refused, c.failed, c.attempts, c.lookups, c.broken
+            "took {} requests: {} served, {} refused, {} failed; {} turned away; {} attempts, {} lookups; invariants broken: {}",
+            c.taken, c.served, c.refused, c.failed, c.turned_away, c.attempts, c.lookups, c.broken
         )
     }
 
