Serve at a replaced process what it can still finish before it is killed

Seen: 24 to 79 requests a replaced process were refused after 0.7 s (322 in six replacements), as connections that carry several at a time rarely have nothing open.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -12,6 +12,12 @@
 /// On standby a connection that never pauses is closed by refusing what comes on it from then on. What was taken
 /// before keeps its time.
 const PATIENCE: Time = 2_000 * MS;
+/// SIGKILL comes this long after the linger, or the longest deadline if that is less...
+const KILL_MOST: Time = 3_000 * MS;
+/// ...and answers need so long to be on their way before it.
+const SPARE: Time = 200 * MS;
+/// With less time than this before that a request is rather refused than begun.
+const WORTH: Time = 700 * MS;
 /// Whoever connects to a router on standby has so long to begin his first request.
 const FIRST: Time = 100 * MS;
 
@@ -93,12 +99,19 @@
         self.began && !self.replaced && !self.lingered(now)
     }
 
-    /// Whether a request that comes now is served; else it is refused at once. At an end only a process that was
-    /// replaced refuses any: its clients don't know of it and go on as long as their connections do, and what came
-    /// later than that is lost if the process is killed over it.
-    pub fn serves(&self, now: Time) -> bool {
-        let standby = self.standby.is_none_or(|at| now < at + PATIENCE);
-        standby && !(self.replaced && self.lingered(now))
+    /// Whether a request that comes now is served; else it is refused at once. `longest` is the longest deadline of a
+    /// class.
+    pub fn serves(&self, now: Time, longest: Time) -> bool {
+        let late = self.ends_by(longest).is_some_and(|by| now + longest.min(WORTH) >= by);
+        self.standby.is_none_or(|at| now < at + PATIENCE) && !late
+    }
+
+    /// When a request that comes now has to be ended at the latest. The clients of a process that was replaced don't
+    /// know that it ends and go on as long as their connections do: what came later than 0.7 s and is open when the
+    /// process is killed is lost.
+    pub fn ends_by(&self, longest: Time) -> Option<Time> {
+        let killed = |at| at + longest.min(KILL_MOST) + LINGER;
+        self.stopping.filter(|_| self.replaced).map(|at| killed(at) - SPARE)
     }
 
     /// Whether a connection stays on which nothing is open. `fresh` since when it has waited for its first request,
@@ -134,6 +147,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use hollymux_decide::SEC;
     use proptest::prelude::*;
 
     const EVENTS: [Event; 6] =
@@ -167,14 +181,14 @@
                 for ahead in [0, 399, 400, 699, 700, 1_999, 2_000, 3_900] {
                     let then = now + ahead * MS;
                     if life.ready() {
-                        prop_assert!(life.accepts(then) && life.serves(then) && life.stays(then, None));
+                        prop_assert!(life.accepts(then) && life.serves(then, SEC) && life.stays(then, None));
                     }
                     prop_assert!(!(life.accepts(then) && replaced), "two processes take the same connections");
                     // Whoever connects is taken by this process, by another one, or finds that it has ended.
                     let ended = stopped.is_some_and(|at| then >= at + LINGER);
                     prop_assert_eq!(life.accepts(then), began && !replaced && !ended);
                     if let Some(at) = standby.filter(|at| then >= *at + 2_000 * MS) {
-                        prop_assert!(!life.serves(then), "a connection that never pauses is held from {}", at);
+                        prop_assert!(!life.serves(then, SEC), "a connection that never pauses is held from {}", at);
                     }
                     if standby.is_some_and(|at| then >= at + 400 * MS) {
                         prop_assert!(!life.stays(then, None));
@@ -182,7 +196,15 @@
                     }
                     if stopped.is_some_and(|at| then >= at + LINGER) {
                         prop_assert!(!life.stays(then, None) && life.lingered(then));
-                        prop_assert_eq!(life.serves(then), !replaced && standby.is_none_or(|at| then < at + 2_000 * MS));
+                        // What is taken late is ended before the process can be killed over it.
+                        let killed = |longest: u64| stopped.map(|at| at + longest.min(3_000 * MS) + 700 * MS);
+                        for longest in [1, 500 * MS, 5_000 * MS] {
+                            let ends = life.ends_by(longest);
+                            prop_assert_eq!(ends.is_some(), replaced);
+                            prop_assert!(ends < killed(longest));
+                            let late = ends.is_some_and(|by| then >= by);
+                            prop_assert!(!(late && life.serves(then, longest)));
+                        }
                     }
                 }
                 // There is a time at which it looks after those it has to let go.
--- a/crates/hollymux/tests/replacement.rs
+++ b/crates/hollymux/tests/replacement.rs
@@ -243,3 +243,36 @@
         drop(node);
     }
 }
+
+/// Guards against requests that a replaced process takes and is killed over: its clients don't know that it ends, and go
+/// on as long as their connection does.
+#[test]
+fn a_replaced_process_ends_in_time_though_its_clients_never_pause() {
+    let bed = Bed::new(Does::Nothing);
+    let mut old = bed.start();
+    let mut busy = Client::connect(bed.addr);
+    // Each takes 1.5 s to fail: there are always some open.
+    assert!(busy.try_ask(1, "docs", fresh()));
+    let _new = bed.start();
+    old.signal("-TERM");
+    let (start, mut asked) = (Instant::now(), 1);
+    while start.elapsed() < Duration::from_millis(3_000) {
+        asked += 1;
+        assert!(busy.try_ask(asked, "docs", fresh()), "it is held while something is open");
+        thread::sleep(Duration::from_millis(100));
+    }
+    let mut answers = std::collections::BTreeSet::new();
+    loop {
+        let answer = busy.answer();
+        if answer == "end" {
+            break;
+        }
+        assert!(answers.insert(answer.split(' ').next().unwrap().parse::<u32>().unwrap()), "{answer}: twice");
+    }
+    assert_eq!(answers.len() as u32, asked, "each is answered");
+    drop(busy);
+    let (status, log) = old.ended();
+    assert!(status.success(), "{log:?}");
+    // The platform kills it 0.7 s after the longest deadline, which is 3 s here.
+    assert!(start.elapsed() < Duration::from_millis(3_700), "ended after {:?}", start.elapsed());
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use hollymux_core::chain::Exhausted;
-use hollymux_core::{Client, Reply};
+use hollymux_core::{Ask, Client, Reply};
 use hollymux_wire::front::{self, Call, Tags};
 use hollymux_wire::resp::Decoder;
 use std::collections::BTreeMap;
@@ -163,7 +163,10 @@
                 }
                 Ok(Call::Do(tag, Ok(ask))) => {
                     let open = conn.owed.len() >= OPEN_MOST;
-                    if open || self.pool.fuller_than(CROWDED) || !self.lifecycle.serves(self.now) {
+                    if open
+                        || self.pool.fuller_than(CROWDED)
+                        || !self.lifecycle.serves(self.now, self.longest())
+                    {
                         conn.waste += u32::from(open);
                         let ended = self.router.turn_away(self.now, &ask);
                         ended.into_iter().for_each(|e| self.carry_out(e));
@@ -171,6 +174,7 @@
                         self.say(conn, tag, Reply::Refused(wait))
                     } else {
                         conn.owed.insert(tag, self.now);
+                        let ask = self.in_time(ask);
                         self.inbox.push_back(Input::Ask(Client { conn: key, tag }, ask));
                         Ok(())
                     }
@@ -194,6 +198,14 @@
         }
     }
 
+    /// A request with no more time than this process has.
+    fn in_time(&self, mut ask: Ask) -> Ask {
+        if let Some(by) = self.lifecycle.ends_by(self.longest()) {
+            ask.budget = ask.budget.min(by.saturating_sub(self.now) / MS).max(1);
+        }
+        ask
+    }
+
     /// Takes back requests that were read but not handed on yet, so that nothing is sent for them; whether there
     /// was one.
     pub(super) fn unask(&mut self, whose: impl Fn(Client) -> bool) -> bool {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -404,6 +404,11 @@
         self.settle();
     }
 
+    /// The longest deadline of a class.
+    fn longest(&self) -> Time {
+        self.router.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+    }
+
     /// Tells the lifecycle of an event and does what follows from it; false if it can't be followed.
     fn live(&mut self, event: Event) -> bool {
         let before = self.lifecycle.phase();
@@ -533,8 +538,7 @@
             self.read_again();
         } else if self.lifecycle.phase() != Phase::Stopping {
             self.live(Event::Stop);
-            let longest = self.router.settings().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-            self.wheel.set(self.now + longest + LINGER + FINISH, Timer::Over);
+            self.wheel.set(self.now + self.longest() + LINGER + FINISH, Timer::Over);
             self.wheel.set(self.now + LINGER, Timer::Empty);
             info!("SIGTERM: finishing what is open");
         }
