--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -340,15 +340,12 @@
             }
             self.now = self.clock.now();
             // Operators first: they are few, and wait a second at most.
-            let mut others = Vec::new();
+            if self.door.is_some() {
+                events.sort_by_key(|e| !self.at_door(e.data.u64()));
+            }
             for event in &events {
-                let (key, flags) = (event.data.u64(), event.flags);
-                match self.role(key) {
-                    Some(Role::DoorListener(_) | Role::DoorConn(_)) => self.on_event(key, flags),
-                    _ => others.push((key, flags)),
-                }
+                self.on_event(event.data.u64(), event.flags);
             }
-            others.into_iter().for_each(|(key, flags)| self.on_event(key, flags));
             for timer in self.wheel.due(self.now) {
                 self.on_timer(timer);
             }
@@ -659,6 +656,11 @@
         self.at(key)?.role.as_mut()
     }
 
+    fn at_door(&self, key: Key) -> bool {
+        let place = self.places.get((key & u64::from(u32::MAX)) as usize);
+        matches!(place.and_then(|p| p.role.as_ref()), Some(Role::DoorListener(_) | Role::DoorConn(_)))
+    }
+
     fn take(&mut self, key: Key) -> Option<Role> {
         self.at(key)?.role.take()
     }
