Let connections go in a pause of 4 ms, not right behind an answer

Seen: over 100 replacements with 12 clients that ask as soon as they are answered 1,200 requests met the end of their connection, one for each connection: the close came right behind the answer, when the next request is on its way. Whoever never pauses is refused once at the end, and then closed at once: a client that goes on although it is refused would else be held past 4 s (seen in the test of standby, which failed without that).

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -16,6 +16,9 @@
 /// When room is wanted, the connection whose message has been awaited longest is the first to go, then the one
 /// idle longest; each has this long first. What crosses such a close is sent again on a new connection.
 const GRACE: Time = 50 * MS;
+/// A connection is let go when nothing was on it for this long: whoever asks for the next thing as soon as he has the
+/// last would meet the close each time.
+const REST: Time = 4 * MS;
 /// A client that was told of a close has so long to take what is on its way and to close as well.
 const LEAVE: Time = 1_000 * MS;
 /// Who withdraws a request sooner than this after it was taken never wanted it.
@@ -237,7 +240,7 @@
         let said = self.say(&mut conn, client.tag, reply);
         let full = self.overfull(&conn);
         let fate = if said.is_err() || full { Fate::Close } else { self.flush(client.conn, &mut conn) };
-        self.let_go(&mut conn);
+        self.let_go(client.conn, &mut conn);
         self.put_back(client.conn, Role::Client(conn), fate);
     }
 
@@ -253,9 +256,13 @@
 
     /// Closes a connection on which nothing is open, if it may not stay. It is shut for writing only and read to its
     /// end: a close with bytes unread would reset answers away that a slow reader has not taken yet.
-    fn let_go(&mut self, conn: &mut ClientConn) {
+    fn let_go(&mut self, key: Key, conn: &mut ClientConn) {
         let goes = conn.closing.is_none() && conn.resting() && !self.lifecycle.stays(self.now, conn.first);
-        if goes && !conn.coming() {
+        // Whoever goes on asking although he is refused has no pause.
+        let pauses = self.lifecycle.serves(self.now, self.longest());
+        if goes && pauses && self.now < conn.used + REST {
+            self.wheel.set(conn.used + REST, Timer::Go(key));
+        } else if goes && !conn.coming() {
             conn.closing = Some(self.now);
             let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
         }
@@ -265,8 +272,16 @@
         self.places.iter().any(|p| matches!(&p.role, Some(Role::Client(c)) if !c.out.is_empty()))
     }
 
-    pub(super) fn client_round(&mut self, conn: &mut ClientConn) -> Fate {
-        self.let_go(conn);
+    /// The pause is over, if it was one.
+    pub(super) fn go(&mut self, key: Key) {
+        if let Some(Role::Client(mut conn)) = self.take(key) {
+            self.let_go(key, &mut conn);
+            self.put_back(key, Role::Client(conn), Fate::Keep);
+        }
+    }
+
+    pub(super) fn client_round(&mut self, key: Key, conn: &mut ClientConn) -> Fate {
+        self.let_go(key, conn);
         // Who doesn't read holds buffers that others need.
         let patience = if self.pool.fuller_than(CROWDED) { STUCK / 8 } else { STUCK };
         let stuck = conn.stream.stuck(self.now, patience);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -179,3 +179,30 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = include_str!("../../../examples/config.json");
+
+    /// Guards against a file that is taken though its end is missing: it is read while somebody writes it.
+    #[test]
+    fn a_file_that_is_cut_anywhere_is_turned_down() {
+        let whole = FILE.trim_end();
+        assert!(Config::read(whole).is_ok());
+        for at in 0..whole.len() {
+            assert!(Config::read(&whole[..at]).is_err(), "cut at byte {at}");
+        }
+    }
+
+    /// Guards against a number that is turned down, or another one, for how it is written.
+    #[test]
+    fn whole_numbers_are_the_same_however_they_are_written() {
+        let written = FILE.replace("\"hardLimit\": 5000000", "\"hardLimit\": 5e6");
+        assert_ne!(written, FILE);
+        let (a, b) = (Config::read(FILE).unwrap(), Config::read(&written).unwrap());
+        assert_eq!(a.settings, b.settings);
+        assert_eq!(a.gives_way_to(&b).map_err(|e| e.to_string()), Ok(()));
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -74,6 +74,8 @@
     Empty,
     /// The control feed was waited for long enough, or has told all; the old process's last word is overdue.
     Begin,
+    /// A client's connection may be let go.
+    Go(Key),
     Quiet,
     Yours,
     Over,
@@ -394,6 +396,7 @@
                 self.look_after();
             }
             Timer::Begin => self.begin(true),
+            Timer::Go(key) => self.go(key),
             Timer::Quiet => self.begin(false),
             Timer::Yours => self.began(),
             Timer::Over => self.over = true,
@@ -584,7 +587,7 @@
         for key in keys {
             let Some(mut role) = self.take(key) else { continue };
             let fate = match &mut role {
-                Role::Client(c) => self.client_round(c),
+                Role::Client(c) => self.client_round(key, c),
                 Role::Shelf(s) => self.shelf_round(s),
                 Role::Feed(f) => self.feed_round(f),
                 Role::DnsConn(c) => self.dns_round(c),
