--- /dev/null
+++ b/crates/decide/tests/service.rs
@@ -0,0 +1,205 @@
+//! The module in service: other settings, a successor that goes on with what this one knows, two that share.
+
+use hollymux_decide::*;
+use proptest::prelude::*;
+
+const ORIGIN: u16 = 2;
+const START: Time = 1_000 * SEC;
+
+fn settings() -> Settings {
+    let class = |effect| Class { aim: 500 * MS, deadline: 5 * SEC, effect, ..Class::default() };
+    Settings {
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+        dispatchers: 2,
+        dispatchers_by_zone: vec![2, 0],
+        origin_kind: Some(ORIGIN),
+        weights: Weights::Size,
+        purge_done: 6 * SEC,
+        cold_from: 0.2,
+        cold_for: 10 * SEC,
+        fall_multiple: 3.0,
+        fall_after: SEC,
+        max_attempts: 6,
+        cancel: true,
+        ..Settings::default()
+    }
+}
+
+fn hosts(started: Time) -> Event {
+    let line = |id, kind| HostEntry {
+        id: HostId(id),
+        cell: 0,
+        zone: 0,
+        kind,
+        weight: 8.0,
+        state: HostState::Ready,
+        started,
+    };
+    let mut entries: Vec<_> = (1..=6).map(|id| line(id, 0)).collect();
+    entries.push(HostEntry { started: 0, ..line(9, ORIGIN) });
+    Event::Hosts { kind: ListKind::Full, entries }
+}
+
+fn module(started: Time) -> Control {
+    let mut c = Control::new(settings(), 7).unwrap();
+    c.handle(START, hosts(started), &mut Vec::new());
+    c
+}
+
+fn request(id: RequestId, class: u16, object: u64, now: Time) -> Event {
+    let deadline = now + 5 * SEC;
+    Event::Request(Request { id, class, object, group: 1, deadline, ..Request::default() })
+}
+
+/// The attempt among these actions.
+fn attempt(acts: &[Action]) -> Option<(HostId, Fill)> {
+    acts.iter().find_map(|a| match a {
+        Action::Attempt { host, fill, .. } => Some((*host, fill.clone())),
+        _ => None,
+    })
+}
+
+fn outcome(request: RequestId, attempt: u16, host: HostId, status: Status) -> Event {
+    let latency = 10 * MS;
+    Event::Outcome(Outcome { request, attempt, host, latency, status, ended: false, note: None, work: None })
+}
+
+/// How many attempts a request gets whose every one is refused a connection; other settings come after the first.
+fn attempts(c: &mut Control, id: RequestId, other: Option<Settings>) -> u16 {
+    let mut acts = Vec::new();
+    c.handle(START, request(id, 0, 5, START), &mut acts);
+    let mut n = 0;
+    while let Some((host, _)) = attempt(&acts) {
+        if let Some(s) = other.clone().filter(|_| n == 0) {
+            c.retune(s, &[Some(0), Some(1)]).unwrap();
+        }
+        acts.clear();
+        c.handle(START + u64::from(n), outcome(id, n, host, Status::Moot), &mut acts);
+        n += 1;
+    }
+    n
+}
+
+/// Guards against more attempts than were allowed when a request came, or than are allowed now.
+#[test]
+fn the_lower_number_of_attempts_binds() {
+    let allowed = |n| Some(Settings { max_attempts: n, ..settings() });
+    assert_eq!(attempts(&mut module(0), 1, None), 6);
+    assert_eq!(attempts(&mut module(0), 1, allowed(2)), 2);
+    assert_eq!(attempts(&mut module(0), 1, allowed(9)), 6);
+    let mut c = module(0);
+    c.retune(allowed(3).unwrap(), &[Some(0), Some(1)]).unwrap();
+    assert_eq!(attempts(&mut c, 1, None), 3, "of a request that comes afterwards");
+    assert!(c.retune(Settings { dispatchers: 0, ..settings() }, &[]).is_err());
+    assert_eq!(attempts(&mut c, 2, None), 3, "what is impossible changes nothing");
+}
+
+/// Guards against a successor that sends to a dead host, serves what was purged, or holds cold hosts to be warm.
+#[test]
+fn a_successor_avoids_and_bounds_what_its_predecessor_did() {
+    let mut old = module(0);
+    let mut acts = Vec::new();
+    // Host by host: every connection to 1 is refused.
+    for id in 1..200 {
+        acts.clear();
+        let now = START + u64::from(id) * 10 * MS;
+        old.handle(now, request(id, 0, u64::from(id), now), &mut acts);
+        let (host, _) = attempt(&acts).unwrap();
+        let status = if host == HostId(1) { Status::ConnectFailed } else { Status::Ok };
+        old.handle(now, outcome(id, 0, host, status), &mut acts);
+        old.handle(now, Event::Withdrawn { request: id }, &mut acts);
+    }
+    let now = START + 2 * SEC;
+    old.handle(now, Event::Purged(Purge { since: 0, object: Some(77), group: 0 }), &mut acts);
+    assert_eq!(old.rotation(), Rotation { listed: 7, avoided: 1 });
+    let mut new = module(0);
+    assert_eq!(new.rotation().avoided, 0);
+    new.recall(now, &old.remember());
+    assert_eq!(new.rotation(), old.rotation());
+    assert_eq!(new.remember(), old.remember());
+    acts.clear();
+    new.handle(now + 5 * MS, request(1, 0, 77, now + 5 * MS), &mut acts);
+    let (host, fill) = attempt(&acts).unwrap();
+    assert_ne!(host, HostId(1));
+    assert_eq!(fill.max_age, Some(4 * MS), "no copy from before the purge");
+}
+
+/// Guards against cold hosts that bear two processes at one place as if they were one.
+#[test]
+fn two_that_share_send_no_more_to_cold_hosts_than_one() {
+    let sent = |c: &mut Control| {
+        let mut acts = Vec::new();
+        for id in 1..=2_000u32 {
+            let now = START + u64::from(id) * MS / 2;
+            c.handle(now, request(id, 0, u64::from(id), now), &mut acts);
+        }
+        acts.iter().filter(|a| matches!(a, Action::Attempt { host, .. } if host.0 < 9)).count()
+    };
+    let (mut alone, mut shared, mut again) = (module(START), module(START), module(START));
+    shared.share(1);
+    again.share(1);
+    again.share(0);
+    let (alone, shared, again) = (sent(&mut alone), sent(&mut shared), sent(&mut again));
+    assert!(alone > 10, "{alone}");
+    // Two of them beside another dispatcher: a third each in the place of a half.
+    assert!(shared * 3 <= alone * 2 + 6, "{shared} where {alone} go alone");
+    assert_eq!(again, alone);
+}
+
+fn any_memory() -> impl Strategy<Value = Memory> {
+    let f = || prop_oneof![Just(f64::NAN), Just(f64::INFINITY), Just(-1.0), any::<f64>()];
+    let t = || prop_oneof![Just(0), Just(u64::MAX), any::<u64>()];
+    let host = (0u64..12, t(), f(), t(), f(), t(), any::<bool>(), (f(), t())).prop_map(
+        |(id, cold, blame, last_ok, tardy, out, died, load)| HostMemory {
+            id,
+            cold_since: Some(cold),
+            blame: [blame; 3],
+            last_ok,
+            answers: blame,
+            out: died.then_some(out),
+            backoff: out,
+            died,
+            tardy,
+            load,
+            ledger: vec![(last_ok, tardy)],
+        },
+    );
+    let class = (f(), f(), f()).prop_map(|(a, b, slow)| ClassMemory { work: (a, b), sent: Some(b), slow });
+    let parts = (proptest::collection::vec(host, 0..12), proptest::collection::vec(class, 0..4), f(), t());
+    parts.prop_map(|(hosts, classes, number, time)| Memory {
+        hosts,
+        classes,
+        levels: vec![(5, u32::MAX, time)],
+        rate: number,
+        seen: [vec![1, 2], vec![3]],
+        seen_since: time,
+        purges: vec![(true, 1, time)],
+        floor: time,
+        retries: number,
+        lost: number,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a predecessor whose numbers are none, or whose clock is another one: whatever it says, each
+    /// request goes somewhere or is ended, and nothing panics.
+    #[test]
+    fn any_memory_can_be_gone_on_with(memory in any_memory()) {
+        let mut c = module(0);
+        c.recall(START, &memory);
+        for id in 1..60u32 {
+            let now = START + u64::from(id) * 100 * MS;
+            let mut acts = Vec::new();
+            c.handle(now, request(id, (id % 2) as u16, u64::from(id % 7), now), &mut acts);
+            if let Some((host, _)) = attempt(&acts) {
+                acts.clear();
+                c.handle(now, outcome(id, 0, host, Status::Ok), &mut acts);
+            } else {
+                let ended = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Fail { .. });
+                prop_assert!(acts.iter().any(ended), "{acts:?}");
+            }
+        }
+    }
+}
--- a/crates/hollymux/tests/replacement.rs
+++ b/crates/hollymux/tests/replacement.rs
@@ -36,8 +36,12 @@
 
     /// A process for that address, once it says yes.
     fn start(&self) -> Node {
+        self.start_with(&self.feed)
+    }
+
+    fn start_with(&self, feed: &Feed) -> Node {
         let listen = format!("\"listen\":\"{}\"", self.addr);
-        let config = config(self.feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen);
+        let config = config(feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen);
         let start = Instant::now();
         let node = Node::meeting(&config.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1), &self.dir);
         until("a yes", || ready(&node).then_some(()));
@@ -214,7 +218,28 @@
     thread::sleep(Duration::from_millis(300));
     bed.feed.fail(bed.feed.calls().len() + 1, usize::MAX);
     let before = bed.shelfs[0].count();
-    let _new = bed.start();
+    let new = bed.start();
+    all_go_elsewhere(&bed, before);
+    drop(new);
+}
+
+/// Guards against a drain that is untold by a feed that is behind.
+#[test]
+fn a_drain_holds_against_a_feed_that_is_behind() {
+    let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
+    let _old = bed.start();
+    bed.feed.members(false, &[line("s-a", bed.shelfs[0].addr, "std", "draining")]);
+    thread::sleep(Duration::from_millis(300));
+    let behind = Feed::start();
+    let [a, b, origin] = &bed.shelfs;
+    let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
+    behind.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
+    let before = bed.shelfs[0].count();
+    let _new = bed.start_with(&behind);
+    all_go_elsewhere(&bed, before);
+}
+
+fn all_go_elsewhere(bed: &Bed, before: usize) {
     let mut client = Client::connect(bed.addr);
     for tag in 1..40 {
         assert!(client.get(tag, "docs", fresh(), tag.into()).contains("good"));
