--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -110,6 +110,13 @@
         Node::spawn(&config(feed.addr), &["serve", "--operator", operator.to_str().unwrap()])
     }
 
+    /// A router with a variable of its environment set.
+    pub fn with_environment(config: &str, name: &str, value: &str) -> Node {
+        let path = file("config.json", config);
+        let mut command = command(&path, &[]);
+        Node::wait(command.env_remove("TMPDIR").env(name, value), &path)
+    }
+
     /// A router that another one can replace, or that replaces another one: they meet in that folder.
     pub fn meeting(config: &str, dir: &std::path::Path) -> Node {
         let path = file("config.json", config);
--- a/crates/hollymux/tests/operations.rs
+++ b/crates/hollymux/tests/operations.rs
@@ -56,6 +56,17 @@
     line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
 }
 
+/// Guards against a door that only the file can open, and against a start that fails for want of one.
+#[test]
+fn the_door_may_be_named_by_the_environment() {
+    let feed = Feed::start();
+    let named = Node::with_environment(&config(feed.addr), "NODE_OPERATOR", "127.0.0.1:0");
+    until("a yes", || (call(door(&named), "GET /status").0 == 200).then_some(()));
+    let none = Node::with_environment(&config(feed.addr), "NODE_OPERATOR", "");
+    assert_eq!(none.door, None);
+    assert_eq!(call(door(&named), "GET /status").1, "ready\n");
+}
+
 /// Guards against numbers that are not what clients and shelfs saw.
 #[test]
 fn the_numbers_are_what_peers_counted() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -127,7 +127,8 @@
         let wrong = |e: &dyn std::fmt::Display| ConfigError(format!("configuration {}: {e}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
         let mut config = Config::read(&text).map_err(|e| wrong(&e))?;
-        if let (None, Ok(door)) = (config.door, std::env::var("NODE_OPERATOR")) {
+        let door = std::env::var("NODE_OPERATOR").ok().filter(|d| !d.is_empty());
+        if let (None, Some(door)) = (config.door, door) {
             config.door = Some(door.parse().map_err(|e| wrong(&format!("NODE_OPERATOR: {e}")))?);
         }
         Ok(config)
