Let a client go right behind its refusal on standby, not by a round's chance

Refusals are written where requests are read and never passed answer(), where connections are let go; only the round every 250 ms looked, and mostly met a request on its way. Ruled out: the pause of 4 ms, which a refusal already waives. Lines at fault: client_bytes in crates/node/src/clients.rs.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -151,6 +151,10 @@
                     if conn.decoder.midway() {
                         conn.awaited = conn.awaited.or(Some(self.now));
                     }
+                    // Refusals don't come by way of answers: whoever asks on and on would be met by a round's chance.
+                    if conn.sent_away {
+                        self.let_go(key, conn);
+                    }
                     return Fate::Keep;
                 }
                 Ok(Some(frame)) => front::call(frame),
