Say in one place how many dispatchers share a host, another process included

Sharing with a successor was kept three times: in the module's settings, which were rewritten, in the fleet and in the core, which had to undo and redo it round every change of settings. The number is added where it is asked for now. Bounds and tables of what is taken over are the module's own.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -358,8 +358,6 @@
     pub figures: Figures,
     /// The places of the classes' numbers there, by class.
     places: Vec<usize>,
-    /// Routers that work at this one's place as well.
-    further: u32,
 }
 
 impl Router {
@@ -387,7 +385,6 @@
             counters: Counters::default(),
             figures,
             places,
-            further: 0,
         })
     }
 
@@ -432,8 +429,7 @@
 
     /// Shares cold budgets with another process that works at this one's place, or no longer.
     pub fn share(&mut self, with_another: bool) {
-        self.further = u32::from(with_another);
-        self.control.share(self.further);
+        self.control.share(u32::from(with_another));
     }
 
     /// What another router needs to go on in this one's place; the driver adds the names of zones and kinds, and how
@@ -523,10 +519,7 @@
         if let Some(follow) = &mut self.follow {
             follow.retune(self.settings.clone());
         }
-        self.control.share(0);
-        self.control.retune(self.settings.clone(), &from)?;
-        self.control.share(self.further);
-        Ok(())
+        self.control.retune(self.settings.clone(), &from)
     }
 
     /// The address of a box that takes work, by its name in any case.
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -24,8 +24,8 @@
 /// Guard against small samples: a count must clear the threshold by this many standard errors.
 const SIGMAS: f64 = 2.0;
 /// Bounds on each table of objects and on the hosts remembered: full tables forget, they never grow.
-const TABLE: usize = 20_000;
-const FLEET: usize = 2_000;
+pub(crate) const TABLE: usize = 20_000;
+pub(crate) const FLEET: usize = 2_000;
 /// What was asked for within one to two of these spans is kept at the middle rank, else the lowest.
 const SEEN: Time = 20 * SEC;
 /// Of what a cold host is known to bear, all dispatchers together use this part...
@@ -390,7 +390,7 @@
         let own = h.load(now, over);
         let sample = own * secs(over) / self.unit();
         let each = usual + (own - usual) * sample / (sample + TRUST);
-        let others = f64::from(self.settings.sharing(h.role == Role::Own, h.entry.zone) - 1) * each;
+        let others = f64::from(self.sharing(h) - 1) * each;
         ((1.0 + f64::from(h.inflight) + others) / h.entry.weight).max(1.0)
     }
 
@@ -519,8 +519,7 @@
     fn admits(&self, now: Time, h: &Host, work: f64) -> bool {
         let Some((able, multiple)) = self.cold(now, h) else { return true };
         let window = self.settings.fall_after;
-        let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window)
-            / f64::from(self.settings.sharing(h.role == Role::Own, h.entry.zone));
+        let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window) / f64::from(self.sharing(h));
         let sparse = share < self.unit();
         let since = if sparse { h.slot } else { now.saturating_sub(window) };
         let lately: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
@@ -549,9 +548,7 @@
             let window = secs(self.settings.fall_after).max(0.001);
             let bears = able * window / unit;
             let mean = ((9.0 + 4.0 * multiple * bears).sqrt() - 3.0).powi(2) / 4.0;
-            let rate = mean.min(2.0 * COLD_USE * bears)
-                / (2.0 * window)
-                / f64::from(self.settings.sharing(h.role == Role::Own, h.entry.zone));
+            let rate = mean.min(2.0 * COLD_USE * bears) / (2.0 * window) / f64::from(self.sharing(h));
             let fresh = self.rng.next_u64() as f64 / u64::MAX as f64;
             let Some(h) = self.fleet.hosts.get_mut(&id) else { continue };
             let (phase, at) = h.phase.unwrap_or((fresh, now));
--- a/crates/decide/src/memory.rs
+++ b/crates/decide/src/memory.rs
@@ -1,15 +1,12 @@
 //! What a module knows that another one at its place would have to learn anew: plain data, handed to the process that
 //! replaces this one. What is open stays here and is no part of it.
 
-use crate::control::Control;
+use crate::control::{Control, FLEET, TABLE};
 use crate::interface::{HostId, HostState, Time};
-use crate::state::Purges;
+use crate::state::{Host, Learnt, Purges};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, VecDeque};
 
-/// Bounds of what is taken over; a module's own tables are no larger.
-const HOSTS: usize = 2_000;
-const OBJECTS: usize = 20_000;
+/// Bounds of what is taken over beside those of the module's own tables.
 const LEDGER: usize = 10_000;
 const LEVEL_MOST: u32 = 20;
 
@@ -89,7 +86,7 @@
     /// What another module could go on with.
     pub fn remember(&self) -> Memory {
         let hosts = self.fleet.hosts.iter().filter(|(_, h)| h.entry.state != HostState::Gone);
-        let host = |(id, h): (&HostId, &crate::state::Host)| HostMemory {
+        let host = |(id, h): (&HostId, &Host)| HostMemory {
             id: id.0,
             cold_since: h.cold_since,
             blame: [h.strikes, h.faults, h.owing],
@@ -102,8 +99,7 @@
             load: (h.load, h.load_at),
             ledger: h.ledger.iter().map(|l| (l.0, l.2)).collect(),
         };
-        let class =
-            |l: &crate::state::Learnt| ClassMemory { work: (l.work, l.samples), sent: l.sent, slow: l.slow };
+        let class = |l: &Learnt| ClassMemory { work: (l.work, l.samples), sent: l.sent, slow: l.slow };
         let (purges, floor) = self.purges.list();
         Memory {
             hosts: hosts.map(host).collect(),
@@ -122,7 +118,7 @@
     /// Goes on with what another one knew, after the list of hosts was told. Classes are this module's own, by number;
     /// what is no number or lies in the future is not taken.
     pub fn recall(&mut self, now: Time, m: &Memory) {
-        for known in m.hosts.iter().take(HOSTS) {
+        for known in m.hosts.iter().take(FLEET) {
             let Some(h) = self.fleet.hosts.get_mut(&HostId(known.id)) else { continue };
             h.cold_since = h.cold_since.max(known.cold_since.map(|t| t.min(now)));
             [h.strikes, h.faults, h.owing] = known.blame;
@@ -134,8 +130,7 @@
             (h.load, h.load_at) = (number(known.load.0, 1e6), known.load.1.min(now));
             let lately = known.ledger.iter().take(LEDGER).filter(|l| l.0 <= now);
             // No outcome of this module is told under that mark.
-            let ledger: VecDeque<_> = lately.map(|l| (l.0, u64::MAX, number(l.1, 1e6))).collect();
-            h.ledger.extend(ledger);
+            h.ledger.extend(lately.map(|l| (l.0, u64::MAX, number(l.1, 1e6))));
             if h.cold_since.is_some() || h.died {
                 self.chilled.insert(HostId(known.id));
             }
@@ -147,15 +142,14 @@
                 l.slow = number(known.slow, 20.0).max(0.2);
             }
         }
-        let levels = m.levels.iter().take(OBJECTS);
+        let levels = m.levels.iter().take(TABLE);
         self.counts.levels.extend(levels.map(|(k, l, t)| (*k, ((*l).min(LEVEL_MOST), (*t).min(now)))));
         self.counts.rate = number(m.rate, 1e9);
         for (here, there) in self.counts.seen.iter_mut().zip(&m.seen) {
-            let objects: BTreeSet<u64> = there.iter().copied().take(OBJECTS).collect();
-            here.extend(objects);
+            here.extend(there.iter().take(TABLE));
         }
         self.counts.seen_since = m.seen_since.min(now);
-        self.purges.recall(now, &m.purges, m.floor, OBJECTS);
+        self.purges.recall(now, &m.purges, m.floor, TABLE);
         self.retries = number(m.retries, self.retries);
         self.lost = number(m.lost, 0.9);
     }
--- a/crates/decide/src/retune.rs
+++ b/crates/decide/src/retune.rs
@@ -2,20 +2,21 @@
 
 use crate::control::Control;
 use crate::interface::{Settings, SettingsError};
-use crate::state::Learnt;
+use crate::state::{Host, Learnt, Role};
 
 impl Control {
-    /// Shares what cold hosts bear with so many dispatchers more than the settings name, for as long as a process and
-    /// the one that replaces it work side by side.
+    /// Shares hosts with so many dispatchers more than the settings name, for as long as a process and the one that
+    /// replaces it work side by side.
     pub fn share(&mut self, further: u32) {
-        let here = self.fleet.further;
-        let by_zone = self.settings.dispatchers_by_zone.iter_mut().filter(|n| **n > 0);
-        for n in by_zone.chain([&mut self.settings.dispatchers]) {
-            *n = n.saturating_sub(here).saturating_add(further).max(1);
-        }
         self.fleet.further = further;
     }
 
+    /// How many dispatchers share a host.
+    pub(crate) fn sharing(&self, h: &Host) -> u32 {
+        let named = self.settings.sharing(h.role == Role::Own, h.entry.zone);
+        named.saturating_add(self.fleet.further)
+    }
+
     /// Goes on under other settings; what is impossible changes nothing. `from` tells for each class the one, by its
     /// number until now, of which it takes what was learnt. Requests under way keep their class's number, which must
     /// mean the same class as before, and get no more attempts than they were taken with, or than are allowed now.
