Count a final answer in one place; drop what nobody reads

Each answer was counted twice in a row, for the log and for operators, in four places: tally does both. What a request wants is made of it in one place. The last event of the feed went over in a handover and was read by nobody, as the feed is replayed; a status of HTTP that is never given had words; a name for calling classes by name stood twice.

--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -24,6 +24,14 @@
     pub body: Chain,
 }
 
+impl Ask {
+    /// What is wanted, of that class by number.
+    pub fn wanted(&self, class: u16) -> Wanted {
+        let (object, part, group, rid) = (self.object.1, self.part, self.group, Some(self.rid.1));
+        Wanted { class, object, part, group, rid }
+    }
+}
+
 /// A part of an object that is asked for, by whichever front.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wanted {
--- a/crates/core/src/legacy.rs
+++ b/crates/core/src/legacy.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Members and filings that are taken over at most.
+/// Members that are taken over at most; filings have the bound of their table.
 const MEMBERS: usize = 20_000;
 /// No name on the sockets is longer.
 const NAME_MOST: usize = 256;
@@ -39,8 +39,6 @@
 /// Everything that is handed over.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Legacy {
-    /// The last event of the control feed that is part of it.
-    pub fed: u64,
     /// The names of zones and kinds, by the numbers that stand here.
     pub zones: Vec<String>,
     /// See `zones`.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -405,24 +405,17 @@
         }
     }
 
-    /// A class by its name.
-    fn class(&self, name: &[u8]) -> Option<u16> {
-        self.classes.named(name)
-    }
-
     /// A request that is refused before it is opened; what there is to say of it.
     pub fn turn_away(&mut self, now: Time, ask: &Ask) -> Option<Command> {
         self.counters.turned_away += 1;
-        let class = self.class(&ask.class)?;
+        let class = self.classes.named(&ask.class)?;
         self.count(class, End::Throttled);
-        let rid = Some(ask.rid.1);
-        let wanted = Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid };
-        Some(unopened(&wanted, now, ask.budget, Closed::Refused, Why::Crowded))
+        Some(unopened(&ask.wanted(class), now, ask.budget, Closed::Refused, Why::Crowded))
     }
 
     /// A request whose fields can't be used: it is failed.
     pub fn spoilt(&mut self, class: &[u8]) {
-        if let Some(class) = self.class(class) {
+        if let Some(class) = self.classes.named(class) {
             self.count(class, End::Faulted);
         }
     }
@@ -432,8 +425,8 @@
         self.control.share(u32::from(with_another));
     }
 
-    /// What another router needs to go on in this one's place; the driver adds the names of zones and kinds, and how
-    /// far it has heard the control feed. From now on `new_filings` tells what comes.
+    /// What another router needs to go on in this one's place; the driver adds the names of zones and kinds. From
+    /// now on `new_filings` tells what comes.
     pub fn legacy(&mut self) -> Legacy {
         let line = |(uid, m): &(Rc<str>, Member)| Line {
             uid: uid.to_string(),
@@ -631,42 +624,49 @@
 
     fn on_ask(&mut self, now: Time, client: Client, ask: Ask, commands: &mut Vec<Command>) {
         self.counters.taken += 1;
-        let Some(class) = self.class(&ask.class) else {
+        let Some(class) = self.classes.named(&ask.class) else {
             self.counters.failed += 1;
             return commands.push(Command::Reply(client, Reply::Failed));
         };
-        let wanted =
-            Wanted { class, object: ask.object.1, part: ask.part, group: ask.group, rid: Some(ask.rid.1) };
+        let wanted = ask.wanted(class);
         // An id that is open can't be told from the first one at a shelf; nobody waits for longer than his class.
         let limit = self.settings.classes[usize::from(class)].deadline * PATIENCE;
         let rid = ask.rid.1;
         if self.open_ids.contains(&rid) || limit > 0 && ask.budget * 1_000 > limit {
-            self.counters.failed += 1;
-            self.count(class, End::Faulted);
+            self.tally(class, &Reply::Failed);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::Unusable));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
         let once = wanted.rid.filter(|_| self.classes.effect(class) == Effect::Unsafe);
         if once.is_some_and(|rid| self.filings.by_id.contains_key(&rid)) {
             // It was taken before, or somebody was told where to go with it: it may have run.
-            self.counters.failed += 1;
-            self.count(class, End::Faulted);
+            self.tally(class, &Reply::Failed);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Failed, Why::MayHaveRun));
             return commands.push(Command::Reply(client, Reply::Failed));
         }
         let room = self.open.len() < OPEN_MOST && once.is_none_or(|rid| self.filings.add(now, rid, None));
         if !room {
-            self.counters.refused += 1;
-            self.count(class, End::Throttled);
+            let refused = Reply::Refused(self.settings.max_retry_after / 1_000);
+            self.tally(class, &refused);
             commands.push(unopened(&wanted, now, ask.budget, Closed::Refused, Why::NoRoom));
-            let wait = self.settings.max_retry_after / 1_000;
-            return commands.push(Command::Reply(client, Reply::Refused(wait)));
+            return commands.push(Command::Reply(client, refused));
         }
         let mind = if self.follow.is_some() { Mind::Follow } else { Mind::Module };
         let deadline = now + ask.budget * 1_000;
         self.begin(now, deadline, mind, wanted, Some((client, Rc::new(ask))), commands);
     }
 
+    /// Counts a final answer.
+    fn tally(&mut self, class: u16, reply: &Reply) {
+        let (counter, end) = match reply {
+            Reply::Good(..) | Reply::Unchanged(_) => (&mut self.counters.served, End::Fulfilled),
+            Reply::Refused(_) => (&mut self.counters.refused, End::Throttled),
+            Reply::Failed => (&mut self.counters.failed, End::Faulted),
+        };
+        *counter += 1;
+        self.count(class, end);
+    }
+
     /// Opens a request.
     fn begin(
         &mut self,
@@ -728,13 +728,7 @@
             // Refused: it never ran, and may be asked for again.
             self.filings.by_id.remove(&rid);
         }
-        let (counter, end) = match reply {
-            Reply::Good(..) | Reply::Unchanged(_) => (&mut self.counters.served, End::Fulfilled),
-            Reply::Refused(_) => (&mut self.counters.refused, End::Throttled),
-            Reply::Failed => (&mut self.counters.failed, End::Faulted),
-        };
-        *counter += 1;
-        self.count(open.wanted.class, end);
+        self.tally(open.wanted.class, &reply);
         commands.push(Command::Reply(client, reply));
     }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -201,7 +201,6 @@
                 peer.greeted = true;
                 driver.share();
                 let mut legacy = driver.router.legacy();
-                legacy.fed = driver.feed_at;
                 legacy.zones.clone_from(&driver.config.names.zones);
                 legacy.kinds.clone_from(&driver.config.names.kinds);
                 peer.gives = true;
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -126,8 +126,7 @@
             draining: true,
             started: 7,
         };
-        let legacy =
-            Legacy { fed: 9, members: vec![line], filings: vec![(1, 2, Some(3))], ..Legacy::default() };
+        let legacy = Legacy { members: vec![line], filings: vec![(1, 2, Some(3))], ..Legacy::default() };
         vec![
             Message::Hello("127.0.0.1:5050".into()),
             Message::Legacy(Some(Box::new(legacy))),
--- a/crates/wire/src/operations.rs
+++ b/crates/wire/src/operations.rs
@@ -139,7 +139,6 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
-        408 => "Request Timeout",
         409 => "Conflict",
         411 => "Length Required",
         413 => "Content Too Large",
