Let the driver's connections share one way to read, write and be found

The calls of a replacement read and polled by a loop of their own; a stream may lie on either kind of socket now and they go by read_from and wait_for as the others do. Writing what waits stood four times, a key made of a place four times, a place looked up without changing it three times; each is one function. Whether the clients' listener is asked is decided in one place: one that was paused was asked again whatever the lifecycle said, so that a replaced process was woken for what the other took. The recorder takes its classes from the router at the start as after SIGHUP, and the settings in force are no longer kept twice.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -115,23 +115,24 @@
     /// Makes room: closes the connection whose message has been awaited longest, else the one idle longest.
     fn evict(&mut self) -> bool {
         let before = self.now.saturating_sub(GRACE);
-        let victim = |(i, p): (usize, &Place)| match &p.role {
-            Some(Role::Client(c)) if c.resting() => {
+        let victim = |(key, role): (Key, &Role)| match role {
+            Role::Client(c) if c.resting() => {
                 let rank = match c.awaited {
                     Some(at) if at < before => (0, at),
                     None if c.used < before => (1, c.used),
                     _ => return None,
                 };
-                Some((rank, u64::from(p.turn) << 32 | i as u64))
+                Some((rank, key))
             }
             _ => None,
         };
-        let first = self.places.iter().enumerate().filter_map(victim).min();
+        let first = self.roles().filter_map(victim).min();
         first.inspect(|(_, key)| self.close(*key)).is_some()
     }
 
     pub(super) fn on_client(&mut self, key: Key, conn: &mut ClientConn, flags: EventFlags) -> Fate {
-        if flags.contains(EventFlags::OUT) && self.flush(key, conn) == Fate::Close {
+        if flags.contains(EventFlags::OUT) && self.flush(key, &mut conn.stream, &mut conn.out) == Fate::Close
+        {
             return Fate::Close;
         }
         if !flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
@@ -179,7 +180,7 @@
                         conn.waste += u32::from(open);
                         let ended = self.router.turn_away(self.now, &ask);
                         ended.into_iter().for_each(|e| self.carry_out(e));
-                        let wait = self.config.settings.max_retry_after / MS;
+                        let wait = self.router.settings().max_retry_after / MS;
                         self.say(conn, tag, Reply::Refused(wait))
                     } else {
                         conn.owed.insert(tag, self.now);
@@ -201,7 +202,7 @@
                 Err(_) => return Fate::Close,
             };
             let kept = said.is_ok() && conn.waste <= WASTE_MOST && !self.overfull(conn);
-            if !kept || self.flush(key, conn) == Fate::Close {
+            if !kept || self.flush(key, &mut conn.stream, &mut conn.out) == Fate::Close {
                 return Fate::Close;
             }
         }
@@ -245,21 +246,15 @@
         (conn.used, conn.waste) = (self.now, 0);
         let said = self.say(&mut conn, client.tag, reply);
         let full = self.overfull(&conn);
-        let fate = if said.is_err() || full { Fate::Close } else { self.flush(client.conn, &mut conn) };
+        let fate = if said.is_err() || full {
+            Fate::Close
+        } else {
+            self.flush(client.conn, &mut conn.stream, &mut conn.out)
+        };
         self.let_go(client.conn, &mut conn);
         self.put_back(client.conn, Role::Client(conn), fate);
     }
 
-    fn flush(&mut self, key: Key, conn: &mut ClientConn) -> Fate {
-        match conn.stream.write(&mut conn.out, self.now) {
-            Ok(all) => {
-                self.wait_for(key, &mut conn.stream, !all);
-                Fate::Keep
-            }
-            Err(_) => Fate::Close,
-        }
-    }
-
     /// Closes a connection on which nothing is open, if it may not stay. It is shut for writing only and read to its
     /// end: a close with bytes unread would reset answers away that a slow reader has not taken yet.
     fn let_go(&mut self, key: Key, conn: &mut ClientConn) {
@@ -274,7 +269,7 @@
     }
 
     pub(super) fn any_client_owed(&self) -> bool {
-        self.places.iter().any(|p| matches!(&p.role, Some(Role::Client(c)) if !c.out.is_empty()))
+        self.roles().any(|(_, role)| matches!(role, Role::Client(c) if !c.out.is_empty()))
     }
 
     /// The pause is over, if it was one.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -81,9 +81,18 @@
     pub file: Value,
 }
 
+/// The path of a field below another one.
+pub(crate) fn below(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_string()
+    } else {
+        format!("{path}.{key}")
+    }
+}
+
 /// Nested JSON as the simulator's paths and values.
 fn flatten(path: &str, value: &Value, map: &mut BTreeMap<String, String>) {
-    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let below = |key: &str| below(path, key);
     // A whole number is one however it is written.
     let whole =
         |v: &Value| v.as_f64().filter(|n| n.fract() == 0.0 && n.abs() < 1e15).map(|n| format!("{n:.0}"));
--- a/crates/node/src/dns.rs
+++ b/crates/node/src/dns.rs
@@ -138,13 +138,7 @@
                 return Fate::Close;
             }
         }
-        match conn.stream.write(&mut conn.out, self.now) {
-            Ok(all) => {
-                self.wait_for(key, &mut conn.stream, !all);
-                Fate::Keep
-            }
-            Err(_) => Fate::Close,
-        }
+        self.flush(key, &mut conn.stream, &mut conn.out)
     }
 
     pub(super) fn dns_round(&mut self, conn: &mut DnsConn) -> Fate {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -53,12 +53,9 @@
 
     pub(super) fn on_feed(&mut self, feed: &mut Feed, flags: EventFlags) -> Fate {
         if flags.contains(EventFlags::OUT) {
-            match feed.stream.write(&mut feed.out, self.now) {
-                Ok(all) => {
-                    let key = self.feed_key.unwrap_or_default();
-                    self.wait_for(key, &mut feed.stream, !all);
-                }
-                Err(_) => return Fate::Close,
+            let key = self.feed_key.unwrap_or_default();
+            if self.flush(key, &mut feed.stream, &mut feed.out) == Fate::Close {
+                return Fate::Close;
             }
         }
         self.read_from(feed, |f| &mut f.stream, Driver::feed_bytes)
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -107,7 +107,7 @@
 
 /// The other end of a handover: the process that takes over, or the one that gives.
 pub(super) struct Peer {
-    pub(super) socket: UnixStream,
+    pub(super) stream: Stream<UnixStream>,
     reader: Reader,
     out: Vec<u8>,
     /// The listening socket goes with the next byte.
@@ -121,7 +121,15 @@
 
 impl Peer {
     fn new(socket: UnixStream, reader: Reader, now: Time) -> Peer {
-        Peer { socket, reader, out: Vec::new(), gives: false, greeted: false, since: now, took: false }
+        Peer {
+            stream: Stream::new(socket, now),
+            reader,
+            out: Vec::new(),
+            gives: false,
+            greeted: false,
+            since: now,
+            took: false,
+        }
     }
 }
 
@@ -243,30 +251,21 @@
         hear: fn(&mut Driver, &mut Peer, Message) -> bool,
     ) -> Fate {
         if flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
-            loop {
-                let mut bytes = std::mem::take(&mut self.scratch);
-                let got = peer.socket.read(&mut bytes);
-                if let Ok(n) = got {
-                    peer.reader.feed(&bytes[..n]);
-                }
-                self.scratch = bytes;
-                match got {
-                    Ok(0) => return Fate::Close,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(_) => return Fate::Close,
-                }
+            let hand = |driver: &mut Driver, peer: &mut Peer, bytes: &[u8]| {
+                peer.reader.feed(bytes);
                 loop {
-                    let message = peer.reader.message();
-                    if let Ok(None) = message {
-                        break;
-                    }
-                    if !message.ok().flatten().is_some_and(|m| hear(self, peer, m)) {
+                    let message = match peer.reader.message() {
+                        Ok(None) => return Fate::Keep,
+                        message => message.ok().flatten(),
+                    };
+                    if !message.is_some_and(|m| hear(driver, peer, m)) {
                         warn!("the other process says what it can't mean");
                         return Fate::Close;
                     }
                 }
+            };
+            if self.read_from(peer, |p| &mut p.stream, hand) == Fate::Close {
+                return Fate::Close;
             }
         }
         self.flush_peer(key, peer)
@@ -274,7 +273,8 @@
 
     fn flush_peer(&mut self, key: Key, peer: &mut Peer) -> Fate {
         while !peer.out.is_empty() {
-            let sent = if peer.gives { self.send_listener(peer) } else { peer.socket.write(&peer.out) };
+            let sent =
+                if peer.gives { self.send_listener(peer) } else { peer.stream.socket.write(&peer.out) };
             match sent {
                 Ok(0) => return Fate::Close,
                 Ok(n) => {
@@ -286,9 +286,7 @@
                 Err(_) => return Fate::Close,
             }
         }
-        let more = if peer.out.is_empty() { EventFlags::empty() } else { EventFlags::OUT };
-        let flags = EventFlags::IN | more;
-        let _told = epoll::modify(&self.poll, &peer.socket, epoll::EventData::new_u64(key), flags);
+        self.wait_for(key, &mut peer.stream, !peer.out.is_empty());
         if peer.out.len() > OUT_MOST {
             Fate::Close
         } else {
@@ -296,22 +294,21 @@
         }
     }
 
-    fn send_listener(&mut self, peer: &Peer) -> io::Result<usize> {
-        let key = self.listener;
-        let Some(Role::Listener(listener)) = self.role(key) else {
+    fn send_listener(&self, peer: &Peer) -> io::Result<usize> {
+        let Some(Role::Listener(listener)) = self.seen(self.listener) else {
             return Err(io::ErrorKind::NotConnected.into());
         };
         let given = [listener.as_fd()];
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         control.push(SendAncillaryMessage::ScmRights(&given));
-        Ok(sendmsg(&peer.socket, &[IoSlice::new(&peer.out)], &mut control, SendFlags::NOSIGNAL)?)
+        Ok(sendmsg(&peer.stream.socket, &[IoSlice::new(&peer.out)], &mut control, SendFlags::NOSIGNAL)?)
     }
 
     /// Tells the new process of filings that came here since.
     pub(super) fn tell_heir(&mut self) {
         let Some(key) = self.heir else { return };
-        if !matches!(self.role(key), Some(Role::Heir(p)) if p.took) {
+        if !matches!(self.seen(key), Some(Role::Heir(p)) if p.took) {
             return;
         }
         let filings = self.router.new_filings();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 use hollymux_core::legacy::Legacy;
 use hollymux_core::lifecycle::{Event, Lifecycle, Phase, LINGER};
 use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
-use hollymux_decide::{HostId, Settings, Time, MS};
+use hollymux_decide::{HostId, Time, MS};
 use hollymux_record::{Head, Recorder, Sink};
 use hollymux_wire::dns::Name;
 use operations::DoorConn;
@@ -129,16 +129,16 @@
 }
 
 /// A stream with what waits to be written on it.
-struct Stream {
-    socket: TcpStream,
+struct Stream<S = TcpStream> {
+    socket: S,
     /// Waits for the socket to take more.
     waiting: bool,
     /// When the socket took something last.
     moved: Time,
 }
 
-impl Stream {
-    fn new(socket: TcpStream, now: Time) -> Stream {
+impl<S: Read + Write> Stream<S> {
+    fn new(socket: S, now: Time) -> Stream<S> {
         Stream { socket, waiting: false, moved: now }
     }
 
@@ -247,6 +247,7 @@
         let follows = operator.dns.as_ref().is_some_and(|d| d.follow.is_some());
         let router = Router::new(config.setup(), follows).map_err(io::Error::other)?;
         let known = std::mem::take(&mut config.known.1);
+        let recorder = recorder(&operator, &config, &router)?;
         let pool = Pool::new(pool_most(&config));
         let mut driver = Driver {
             poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
@@ -267,7 +268,7 @@
             shelf_conns: 0,
             resolver: Resolver::new(config.seed),
             zone: operator.dns.as_ref().map(|d| d.name()).unwrap_or_default(),
-            recorder: recorder(&operator, &config, config.names.classes.clone(), &config.settings)?,
+            recorder,
             operator,
             feed_at: config.known.0,
             feed_key: None,
@@ -426,11 +427,19 @@
 
     /// Asks the listener for new connections while they are to be taken.
     fn listen_or_not(&mut self) {
-        let flags = if self.lifecycle.accepts(self.now) { EventFlags::IN } else { EventFlags::empty() };
-        let (index, turn) = ((self.listener & u64::from(u32::MAX)) as usize, self.listener >> 32);
-        let place = self.places.get(index).filter(|p| u64::from(p.turn) == turn);
-        if let Some(role @ Role::Listener(_)) = place.and_then(|p| p.role.as_ref()) {
-            let _told = epoll::modify(&self.poll, fd(role), epoll::EventData::new_u64(self.listener), flags);
+        self.ask_listener(self.listener);
+    }
+
+    /// Asks a listener for new connections; the clients' one only while they are to be taken.
+    fn ask_listener(&self, key: Key) {
+        let asked = match self.seen(key) {
+            Some(role @ Role::Listener(_)) => Some((role, self.lifecycle.accepts(self.now))),
+            Some(role @ Role::DnsListener(_)) => Some((role, true)),
+            _ => None,
+        };
+        if let Some((role, wanted)) = asked {
+            let flags = if wanted { EventFlags::IN } else { EventFlags::empty() };
+            let _told = epoll::modify(&self.poll, fd(role), epoll::EventData::new_u64(key), flags);
         }
     }
 
@@ -453,14 +462,7 @@
     }
 
     fn listen_again(&mut self) {
-        for key in std::mem::take(&mut self.paused) {
-            let poll = &self.poll;
-            let place = self.places.get((key & u64::from(u32::MAX)) as usize);
-            let role = place.filter(|p| u64::from(p.turn) == key >> 32).and_then(|p| p.role.as_ref());
-            if let Some(role @ (Role::Listener(_) | Role::DnsListener(_))) = role {
-                let _told = epoll::modify(poll, fd(role), epoll::EventData::new_u64(key), EventFlags::IN);
-            }
-        }
+        std::mem::take(&mut self.paused).into_iter().for_each(|key| self.ask_listener(key));
     }
 
     /// Feeds the core until nothing is left to tell it or to do for it.
@@ -558,7 +560,7 @@
                 self.router.figures.cfg_accepted += 1;
                 info!("SIGHUP: {} classes; the control feed is at {}", new.names.classes.len(), new.feed);
                 let here = &mut self.config;
-                (here.feed, here.settings, here.names) = (new.feed, new.settings, new.names);
+                (here.feed, here.names) = (new.feed, new.names);
                 (here.streams, here.idle, here.file) = (new.streams, new.idle, new.file);
                 self.record_anew();
                 self.call_feed_anew();
@@ -573,8 +575,7 @@
     /// What is recorded has the classes in its head: other classes begin another file.
     fn record_anew(&mut self) {
         if self.recorder.take().is_some() {
-            let names = self.router.classes().names().map(str::to_string).collect();
-            match recorder(&self.operator, &self.config, names, self.router.settings()) {
+            match recorder(&self.operator, &self.config, &self.router) {
                 Ok(recorder) => self.recorder = recorder,
                 Err(e) => warn!("the load is not recorded any more: {e}"),
             }
@@ -583,7 +584,7 @@
 
     /// Closes what is idle for too long, stuck, or no longer wanted.
     fn look_after(&mut self) {
-        let keys: Vec<Key> = self.keys().collect();
+        let keys: Vec<Key> = self.roles().map(|(key, _)| key).collect();
         for key in keys {
             let Some(mut role) = self.take(key) else { continue };
             let fate = match &mut role {
@@ -601,10 +602,10 @@
     }
 
     /// Hands on what a connection has to read, up to so many buffers in a row: none starves the others.
-    fn read_from<C>(
+    fn read_from<C, S: Read + Write>(
         &mut self,
         conn: &mut C,
-        stream: fn(&mut C) -> &mut Stream,
+        stream: fn(&mut C) -> &mut Stream<S>,
         mut hand: impl FnMut(&mut Driver, &mut C, &[u8]) -> Fate,
     ) -> Fate {
         let mut scratch = std::mem::take(&mut self.scratch);
@@ -625,9 +626,16 @@
 
     // ---- places ----
 
-    fn keys(&self) -> impl Iterator<Item = Key> + '_ {
-        let key = |(i, p): (usize, &Place)| u64::from(p.turn) << 32 | i as u64;
-        self.places.iter().enumerate().filter(|(_, p)| p.role.is_some()).map(key)
+    /// Whoever is in his place.
+    fn roles(&self) -> impl Iterator<Item = (Key, &Role)> + '_ {
+        let places = self.places.iter().enumerate();
+        places.filter_map(|(i, p)| Some((u64::from(p.turn) << 32 | i as u64, p.role.as_ref()?)))
+    }
+
+    /// Who is at a key, to be looked at.
+    fn seen(&self, key: Key) -> Option<&Role> {
+        let place = self.places.get((key & u64::from(u32::MAX)) as usize)?;
+        place.role.as_ref().filter(|_| u64::from(place.turn) == key >> 32)
     }
 
     fn place(&mut self, role: Role) -> io::Result<Key> {
@@ -660,8 +668,7 @@
     }
 
     fn at_door(&self, key: Key) -> bool {
-        let place = self.places.get((key & u64::from(u32::MAX)) as usize);
-        matches!(place.and_then(|p| p.role.as_ref()), Some(Role::DoorListener(_) | Role::DoorConn(_)))
+        matches!(self.seen(key), Some(Role::DoorListener(_) | Role::DoorConn(_)))
     }
 
     fn take(&mut self, key: Key) -> Option<Role> {
@@ -702,8 +709,19 @@
         }
     }
 
+    /// Writes what waits, as far as the socket takes it, and asks to be told when it takes more.
+    fn flush(&mut self, key: Key, stream: &mut Stream, out: &mut Chain) -> Fate {
+        match stream.write(out, self.now) {
+            Ok(all) => {
+                self.wait_for(key, stream, !all);
+                Fate::Keep
+            }
+            Err(_) => Fate::Close,
+        }
+    }
+
     /// Asks to be told when a socket takes more, or no longer.
-    fn wait_for(&mut self, key: Key, stream: &mut Stream, more: bool) {
+    fn wait_for<S: AsFd>(&mut self, key: Key, stream: &mut Stream<S>, more: bool) {
         if stream.waiting != more {
             stream.waiting = more;
             let flags = if more { EventFlags::IN | EventFlags::OUT } else { EventFlags::IN };
@@ -732,15 +750,11 @@
 }
 
 /// What records the load, if the operator wants it recorded.
-fn recorder(
-    operator: &Operator,
-    config: &Config,
-    classes: Vec<String>,
-    settings: &Settings,
-) -> io::Result<Option<Recorder>> {
+fn recorder(operator: &Operator, config: &Config, router: &Router) -> io::Result<Option<Recorder>> {
     let Some(r) = &operator.record else { return Ok(None) };
     let names = &config.names;
-    let head = Head::new(&config.name, &names.zones, &names.kinds, &classes, settings);
+    let classes: Vec<String> = router.classes().names().map(str::to_string).collect();
+    let head = Head::new(&config.name, &names.zones, &names.kinds, &classes, router.settings());
     let sink = Sink::new(&r.dir, head, r.file_mb << 20, r.files)?;
     Recorder::start(sink, r.queue).map(Some)
 }
@@ -756,7 +770,7 @@
         Role::DnsListener(l) | Role::DoorListener(l) => l.as_fd(),
         Role::DoorConn(c) => c.stream.socket.as_fd(),
         Role::Meeting(l) => l.as_fd(),
-        Role::Heir(p) | Role::Forebear(p) => p.socket.as_fd(),
+        Role::Heir(p) | Role::Forebear(p) => p.stream.socket.as_fd(),
         Role::DnsConn(c) => c.stream.socket.as_fd(),
     }
 }
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -36,8 +36,8 @@
         }
     }
 
-    fn door_at(&mut self) -> Option<SocketAddr> {
-        match self.role(self.door?) {
+    fn door_at(&self) -> Option<SocketAddr> {
+        match self.seen(self.door?) {
             Some(Role::DoorListener(l)) => l.local_addr().ok(),
             _ => None,
         }
@@ -46,11 +46,11 @@
     pub(super) fn on_door_accept(&mut self, listener: &mut TcpListener) -> Fate {
         for _ in 0..READS {
             let Ok((socket, _)) = listener.accept() else { break };
-            let conns = |(i, p): (usize, &Place)| match &p.role {
-                Some(Role::DoorConn(c)) => Some((c.since, u64::from(p.turn) << 32 | i as u64)),
+            let conns = |(key, role): (Key, &Role)| match role {
+                Role::DoorConn(c) => Some((c.since, key)),
                 _ => None,
             };
-            let held: Vec<(Time, Key)> = self.places.iter().enumerate().filter_map(conns).collect();
+            let held: Vec<(Time, Key)> = self.roles().filter_map(conns).collect();
             if held.len() >= DOOR_MOST {
                 held.iter().min().into_iter().for_each(|(_, key)| self.close(*key));
             }
@@ -126,17 +126,12 @@
     }
 
     fn flush_door(&mut self, key: Key, conn: &mut DoorConn) -> Fate {
-        match conn.stream.write(&mut conn.out, self.now) {
-            Ok(all) => {
-                self.wait_for(key, &mut conn.stream, !all);
-                if all && conn.answered {
-                    // Read on to the end: a close with bytes unread would reset the answer away.
-                    let _shut = rustix::net::shutdown(&conn.stream.socket, Shutdown::Write);
-                }
-                Fate::Keep
-            }
-            Err(_) => Fate::Close,
+        let fate = self.flush(key, &mut conn.stream, &mut conn.out);
+        if fate == Fate::Keep && conn.out.is_empty() && conn.answered {
+            // Read on to the end: a close with bytes unread would reset the answer away.
+            let _shut = rustix::net::shutdown(&conn.stream.socket, Shutdown::Write);
         }
+        fate
     }
 
     pub(super) fn door_round(&mut self, conn: &DoorConn) -> Fate {
--- a/crates/node/src/renewal.rs
+++ b/crates/node/src/renewal.rs
@@ -1,6 +1,7 @@
 //! What another configuration file has to hold before it may take the place of the one in force: whole, with every
 //! key that there is now, deadlines and attempts that are numbers above 0, and names that go on meaning the same.
 
+use crate::config::below;
 use serde_json::{Map, Value};
 use std::collections::BTreeSet;
 
@@ -15,15 +16,14 @@
 
 /// The first key that one has and the other lacks; what stands there without a value is no key.
 fn lacking(path: &str, old: &Value, new: &Value) -> Option<String> {
-    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
     match (old, new) {
         // The events known at a start differ from file to file.
         (Value::Object(old), Value::Object(new)) => {
             old.iter().filter(|(_, v)| !v.is_null()).find_map(|(k, v)| {
                 match new.get(k).filter(|v| !v.is_null()) {
-                    None => Some(below(k)),
+                    None => Some(below(path, k)),
                     Some(_) if path.is_empty() && k == "known" => None,
-                    Some(there) => lacking(&below(k), v, there),
+                    Some(there) => lacking(&below(path, k), v, there),
                 }
             })
         }
