Share the tests' lists, doors and callers between the files that start the program

The list of two boxes and the origin stood in platform.rs and was written anew four times; a configuration with a door, a call at it and the clients of a replacement twice each.

--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -5,8 +5,8 @@
 
 pub use standins::*;
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -75,6 +75,29 @@
     )
 }
 
+/// The same with a door for operators, at a port of the system's choice.
+pub fn with_door(config: &str) -> String {
+    config.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1)
+}
+
+/// Where a router's operators are answered.
+pub fn door(node: &Node) -> SocketAddr {
+    node.door.expect("the program says where operators are answered")
+}
+
+/// An operator's call: its status and body.
+pub fn call(door: SocketAddr, what: &str) -> (u16, String) {
+    let mut socket = TcpStream::connect(door).unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    write!(socket, "{what} HTTP/1.1\r\nHost: router\r\n\r\n").unwrap();
+    let mut text = String::new();
+    socket.read_to_string(&mut text).unwrap();
+    let status = text.split(' ').nth(1).unwrap().parse().unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains(&format!("Content-Length: {}", body.len())), "{text}");
+    (status, body.to_string())
+}
+
 pub fn command(config: &std::path::Path, args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hollymux"));
     command.args(args).env("NODE_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::piped());
--- a/crates/hollymux/tests/common/standins.rs
+++ b/crates/hollymux/tests/common/standins.rs
@@ -274,6 +274,16 @@
     )
 }
 
+/// The lines of two boxes and the origin.
+pub fn listed(shelfs: &[Shelf; 3]) -> Vec<String> {
+    let [a, b, origin] = shelfs;
+    vec![
+        line("s-a", a.addr, "std", "ready"),
+        line("s-b", b.addr, "std", "ready"),
+        line("s-o", origin.addr, "origin", "ready"),
+    ]
+}
+
 // ---- a client of the platform ----
 
 pub struct Client {
--- a/crates/hollymux/tests/operations.rs
+++ b/crates/hollymux/tests/operations.rs
@@ -3,15 +3,10 @@
 mod common;
 
 use common::*;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A configuration with a door at a port of the system's choice.
-fn with_door(feed: &Feed) -> String {
-    config(feed.addr).replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1)
-}
-
 struct Bed {
     feed: Feed,
     node: Node,
@@ -22,33 +17,14 @@
 fn bed(does: Does) -> Bed {
     let feed = Feed::start();
     let shelfs = [does.clone(), does.clone(), does].map(Shelf::start);
-    let [a, b, origin] = &shelfs;
-    let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
-    feed.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
-    let node = Node::configured(&with_door(&feed));
+    feed.members(true, &listed(&shelfs));
+    let node = Node::configured(&with_door(&config(feed.addr)));
     let door = door(&node);
     until("a yes", || (call(door, "GET /status").0 == 200).then_some(()));
     until("the list", || (figure(door, "registry_entries") == 3).then_some(()));
     Bed { feed, node, door, shelfs }
 }
 
-fn door(node: &Node) -> SocketAddr {
-    node.door.expect("the program says where operators are answered")
-}
-
-/// A call's status and body.
-fn call(door: SocketAddr, what: &str) -> (u16, String) {
-    let mut socket = TcpStream::connect(door).unwrap();
-    socket.set_read_timeout(Some(LONG)).unwrap();
-    write!(socket, "{what} HTTP/1.1\r\nHost: router\r\n\r\n").unwrap();
-    let mut text = String::new();
-    socket.read_to_string(&mut text).unwrap();
-    let status = text.split(' ').nth(1).unwrap().parse().unwrap();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap();
-    assert!(head.contains(&format!("Content-Length: {}", body.len())), "{text}");
-    (status, body.to_string())
-}
-
 fn figure(door: SocketAddr, name: &str) -> u64 {
     let (status, text) = call(door, "GET /status/metrics");
     assert_eq!(status, 200);
@@ -108,10 +84,9 @@
     let feed = Feed::start();
     let big = Does::Data(vec![b'x'; 238_000]);
     let shelfs = [big.clone(), big.clone(), big].map(Shelf::start);
-    let [a, b, origin] = &shelfs;
-    let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
-    feed.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
-    let node = Node::configured(&with_door(&feed).replace("\"memory_mb\":192", "\"memory_mb\":24"));
+    feed.members(true, &listed(&shelfs));
+    let node =
+        Node::configured(&with_door(&config(feed.addr)).replace("\"memory_mb\":192", "\"memory_mb\":24"));
     let door = door(&node);
     until("the list", || (figure(door, "registry_entries") == 3).then_some(()));
     let mut client = Client::small(node.addr);
@@ -246,7 +221,7 @@
 fn new_settings_apply_whole_or_not_at_all() {
     let bed = bed(Does::Data(b"some bytes".to_vec()));
     let mut client = Client::connect(bed.node.addr);
-    let old = with_door(&bed.feed);
+    let old = with_door(&config(bed.feed.addr));
     let maps = r#"{"name":"maps","effect":"retryable","onTime":250000,"hardLimit":2500000,"worth":1.0,"aimStretch":2.0},"#;
     let new = old.replace(r#"{"name":"docs""#, &format!(r#"{maps}{{"name":"docs""#));
     let rounds = |name: &str, n: u64| until(name, || (figure(bed.door, name) == n).then_some(()));
--- a/crates/hollymux/tests/platform.rs
+++ b/crates/hollymux/tests/platform.rs
@@ -16,15 +16,6 @@
     (feed, node, client, shelfs)
 }
 
-fn listed(shelfs: &[Shelf; 3]) -> Vec<String> {
-    let [a, b, origin] = shelfs;
-    vec![
-        line("s-a", a.addr, "std", "ready"),
-        line("s-b", b.addr, "std", "ready"),
-        line("s-o", origin.addr, "origin", "ready"),
-    ]
-}
-
 /// Asks until the list is known there; before, requests are refused.
 fn settled(client: &mut Client) {
     let mut tag = 1_000_000;
--- a/crates/hollymux/tests/replacement.rs
+++ b/crates/hollymux/tests/replacement.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,9 +25,7 @@
     fn new(does: Does) -> Bed {
         let feed = Feed::start();
         let shelfs = [does.clone(), does.clone(), does].map(Shelf::start);
-        let [a, b, origin] = &shelfs;
-        let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
-        feed.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
+        feed.members(true, &listed(&shelfs));
         // A port of the system's choice that is free again by now.
         let addr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let dir = file("nothing", "").parent().unwrap().to_path_buf();
@@ -43,7 +41,7 @@
         let listen = format!("\"listen\":\"{}\"", self.addr);
         let config = config(feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen);
         let start = Instant::now();
-        let node = Node::meeting(&config.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1), &self.dir);
+        let node = Node::meeting(&with_door(&config), &self.dir);
         until("a yes", || ready(&node).then_some(()));
         assert!(start.elapsed() < Duration::from_secs(6), "ready after {:?}", start.elapsed());
         node
@@ -71,11 +69,7 @@
 }
 
 fn ready(node: &Node) -> bool {
-    let mut socket = TcpStream::connect(node.door.unwrap()).unwrap();
-    socket.write_all(b"GET /status HTTP/1.1\r\nHost: router\r\n\r\n").unwrap();
-    let mut text = String::new();
-    socket.read_to_string(&mut text).unwrap();
-    text.starts_with("HTTP/1.1 200")
+    call(door(node), "GET /status").0 == 200
 }
 
 /// What a client did.
@@ -120,19 +114,35 @@
     sum
 }
 
+/// So many of them at once.
+struct Loads {
+    over: Arc<AtomicBool>,
+    clients: Vec<thread::JoinHandle<Load>>,
+}
+
+impl Loads {
+    fn start(addr: SocketAddr, clients: usize) -> Loads {
+        let over = Arc::new(AtomicBool::new(false));
+        let client = |_| {
+            let over = over.clone();
+            thread::spawn(move || load(addr, &over))
+        };
+        Loads { clients: (0..clients).map(client).collect(), over }
+    }
+
+    fn end(self) -> Vec<Load> {
+        self.over.store(true, Ordering::Relaxed);
+        self.clients.into_iter().map(|c| c.join().unwrap()).collect()
+    }
+}
+
 /// Guards against a replacement that loses, refuses or repeats anything, twice in a row, and against an old process
 /// that stays.
 #[test]
 fn nothing_is_lost_over_two_replacements() {
     let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
     let mut old = bed.start();
-    let over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..6)
-        .map(|_| {
-            let (addr, over) = (bed.addr, over.clone());
-            thread::spawn(move || load(addr, &over))
-        })
-        .collect();
+    let loads = Loads::start(bed.addr, 6);
     let mut started = Vec::new();
     for _ in 0..2 {
         thread::sleep(Duration::from_millis(150));
@@ -145,9 +155,7 @@
         new.says("the process that was replaced has ended");
         started.push(std::mem::replace(&mut old, new));
     }
-    over.store(true, Ordering::Relaxed);
-    for client in clients {
-        let sum = client.join().unwrap();
+    for sum in loads.end() {
         assert_eq!(sum.asked, sum.served, "each is served");
         // One refusal a process makes the pause in which its connection is closed.
         assert!(sum.refused <= 2 && sum.again <= 4, "{} refused, {} sent again", sum.refused, sum.again);
@@ -169,21 +177,14 @@
 fn many_replacements() {
     let bed = Bed::new(Does::Data(b"some bytes".to_vec()));
     let mut old = bed.start();
-    let over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..12)
-        .map(|_| {
-            let (addr, over) = (bed.addr, over.clone());
-            thread::spawn(move || load(addr, &over))
-        })
-        .collect();
+    let loads = Loads::start(bed.addr, 12);
     for _ in 0..REPLACEMENTS {
         let new = bed.start();
         old.signal("-TERM");
         assert!(old.ended().0.success());
         old = new;
     }
-    over.store(true, Ordering::Relaxed);
-    let each: Vec<Load> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    let each = loads.end();
     let sum = |of: fn(&Load) -> u64| each.iter().map(of).sum::<u64>();
     let (asked, served) = (sum(|l| l.asked), sum(|l| l.served));
     let (refused, again) = (sum(|l| l.refused), sum(|l| l.again));
@@ -237,9 +238,7 @@
     bed.feed.members(false, &[line("s-a", bed.shelfs[0].addr, "std", "draining")]);
     thread::sleep(Duration::from_millis(300));
     let behind = Feed::start();
-    let [a, b, origin] = &bed.shelfs;
-    let lines = [("s-a", a, "std"), ("s-b", b, "std"), ("s-o", origin, "origin")];
-    behind.members(true, &lines.map(|(uid, shelf, model)| line(uid, shelf.addr, model, "ready")));
+    behind.members(true, &listed(&bed.shelfs));
     let before = bed.shelfs[0].count();
     let _new = bed.start_with(&behind);
     all_go_elsewhere(&bed, before);
@@ -280,11 +279,7 @@
         bed.served();
     }
     // And a real one can still take over, also when the old one is on standby.
-    let mut door = TcpStream::connect(old.door.unwrap()).unwrap();
-    door.write_all(b"PUT /standby HTTP/1.1\r\n\r\n").unwrap();
-    let mut text = String::new();
-    door.read_to_string(&mut text).unwrap();
-    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert_eq!(call(door(&old), "PUT /standby").0, 200);
     let _new = bed.start();
     bed.served();
 }
