Add the fleet's view as a sans-I/O core, and a rig that plays it in virtual time

Need: routers that know each other (docs/fleet.md). crates/fleet takes datagrams, times and the own router's events and gives datagrams, timers and changes; it has no I/O, no clock and no order by hash. SWIM's probes, direct and by way of three others; Lifeguard's local health, suspicion that confirmations shorten, and word to the suspect first; records that form a join semilattice, digests on every datagram and repair of the parts that differ; lost routers and seeds are tried again at a rate that is bounded over the fleet. A router that hears nobody says nothing of others, and one that stood still blames nobody. Who may be at work is a set of its own that silence never shrinks.

crates/lab/src/fleet.rs plays it with a fault on each directed link: cut, lost, late, twice, out of order, flipped bits, and kill, pause, restart and clocks that are off.

Seen and mended on the way: a side of two in a partition of five never called the others lost, as its health made probes so rare that it held itself to be deaf by the clock; deafness is counted in probes now, and health ends at 4.

--- /dev/null
+++ b/crates/fleet/src/view/message.rs
@@ -0,0 +1,125 @@
+//! Datagrams between routers: a version, a head, news, a checksum. Lengths are bounded before anything is read; a
+//! datagram that is not understood whole is none.
+
+use super::record::{Digests, Record};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// No datagram is longer: it fits a packet on any network in use, tunnels included.
+pub const DATAGRAM_MOST: usize = 1_400;
+const VERSION: u8 = 1;
+const CHECK: usize = 4;
+
+/// Why a datagram is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unread {
+    /// Too long, too short, or of another version.
+    #[error("no datagram of this version")]
+    Form,
+    /// Its checksum does not fit.
+    #[error("damaged")]
+    Damaged,
+    /// It can't be read, or holds what is out of bounds.
+    #[error("unusable fields")]
+    Fields,
+    /// It belongs to another fleet.
+    #[error("of another fleet")]
+    Foreign,
+}
+
+/// What is wanted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Body {
+    /// Answer with this number.
+    Ping(u64),
+    /// The answer.
+    Ack(u64),
+    /// Ping that router and say what came of it, under this number.
+    Ask(u64, SocketAddr),
+    /// It was asked and has not answered in time.
+    Nack(u64),
+    /// Only news.
+    Tell,
+    /// These are my digests: tell me what is in the parts where yours differ. An answer is not answered.
+    Compare([u64; Digests::PARTS], bool),
+}
+
+/// What every datagram begins with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Head {
+    /// The fleet, by a hash of its name.
+    pub(crate) fleet: u64,
+    /// The sender: the address that others send to.
+    pub(crate) from: SocketAddr,
+    pub(crate) record: Record,
+    /// Of the sender's whole view.
+    pub(crate) digest: u64,
+    pub(crate) body: Body,
+}
+
+/// What is said of a router; of a suspect also who suspects it, by a hash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct News {
+    pub(crate) of: SocketAddr,
+    pub(crate) record: Record,
+    pub(crate) by: u32,
+}
+
+/// A fleet's name in datagrams.
+pub(crate) fn fleet_hash(name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), 3)
+}
+
+/// Who suspects, in news.
+pub(crate) fn by(addr: SocketAddr) -> u32 {
+    xxh3_64_with_seed(addr.to_string().as_bytes(), 4) as u32
+}
+
+fn check(bytes: &[u8]) -> [u8; CHECK] {
+    (xxh3_64_with_seed(bytes, 5) as u32).to_le_bytes()
+}
+
+/// Writes a head and as much news, in order, as fits; says how many went in.
+pub(crate) fn write<'a>(head: &Head, news: impl Iterator<Item = &'a News>) -> (Vec<u8>, usize) {
+    let mut bytes = vec![VERSION];
+    bytes.extend(postcard::to_stdvec(head).unwrap_or_default());
+    let mut count = 0;
+    for n in news {
+        let Ok(text) = postcard::to_stdvec(n) else { break };
+        if bytes.len() + text.len() + CHECK > DATAGRAM_MOST {
+            break;
+        }
+        bytes.extend(text);
+        count += 1;
+    }
+    let check = check(&bytes);
+    bytes.extend(check);
+    (bytes, count)
+}
+
+/// Reads a datagram of this fleet.
+pub(crate) fn read(bytes: &[u8], fleet: u64) -> Result<(Head, Vec<News>), Unread> {
+    if bytes.len() > DATAGRAM_MOST || bytes.len() < 1 + CHECK || bytes[0] != VERSION {
+        return Err(Unread::Form);
+    }
+    let (text, sum) = bytes.split_at(bytes.len() - CHECK);
+    if sum != check(text) {
+        return Err(Unread::Damaged);
+    }
+    let (head, mut rest) = postcard::take_from_bytes::<Head>(&text[1..]).map_err(|_| Unread::Fields)?;
+    if head.fleet != fleet {
+        return Err(Unread::Foreign);
+    }
+    let mut news = Vec::new();
+    while !rest.is_empty() {
+        let (n, left) = postcard::take_from_bytes::<News>(rest).map_err(|_| Unread::Fields)?;
+        rest = left;
+        news.push(n);
+    }
+    let usable = |r: &Record| r.usable();
+    if !usable(&head.record) || !news.iter().all(|n| usable(&n.record)) {
+        return Err(Unread::Fields);
+    }
+    Ok((head, news))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cache;
 pub mod day;
+pub mod fleet;
 pub mod load;
 pub mod pipe;
 pub mod platform;
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,375 @@
+//! Fleets in virtual time: what is promised of their views under every fault, and the same run twice.
+
+use hollymux_decide::{Time, MS, SEC};
+use hollymux_fleet::view::{Change, Rank, DATAGRAM_MOST, MEMBERS_MOST};
+use hollymux_lab::fleet::{addr, Fleet, Link};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const CUT: Link = Link { cut: true, loss: 0.0, twice: 0.0, flipped: 0.0, delay: (0, 0) };
+
+fn all(routers: usize) -> Vec<usize> {
+    (0..routers).collect()
+}
+
+fn others(routers: usize, not: usize) -> Vec<usize> {
+    (0..routers).filter(|r| *r != not).collect()
+}
+
+/// So many routers that have found each other.
+fn started(routers: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(routers, seed);
+    all(routers).into_iter().for_each(|r| fleet.start(r));
+    settles(&mut fleet, &all(routers), 20 * SEC);
+    fleet.run(3 * SEC);
+    fleet
+}
+
+/// Those routers come to hold one view with all of them in it.
+fn settles(f: &mut Fleet, who: &[usize], within: Time) -> Time {
+    let took = f.until(within, |f| f.same(who));
+    took.unwrap_or_else(|| panic!("{who:?} don't settle within {} ms", within / MS))
+}
+
+fn lost(f: &mut Fleet, by: &[usize], of: usize, within: Time) {
+    let known = f.until(within, |f| f.say(by, of, Rank::Lost) == 1.0);
+    assert!(known.is_some(), "{of} is not known to be lost within {} ms", within / MS);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    let run = |seed| {
+        let mut f = started(7, seed);
+        f.every = Link { loss: 0.1, twice: 0.1, flipped: 0.05, delay: (0, 50 * MS), cut: false };
+        f.kill(3);
+        f.run(10 * SEC);
+        (f.sent, format!("{:?}", f.told))
+    };
+    assert_eq!(run(3), run(3));
+    assert_ne!(run(3), run(4));
+}
+
+/// Guards against a crash that is not noticed, a lost router that is counted out, and a next start that is not believed,
+/// also when the machine's clock went back by an hour in between.
+#[test]
+fn a_crash_is_known_and_a_next_start_believed_whatever_its_clock_says() {
+    let mut f = started(5, 1);
+    let rest = others(5, 4);
+    for off in [0, -3_600 * SEC as i64, 3_600 * SEC as i64, -7_200 * SEC as i64] {
+        f.clock(4, off);
+        f.kill(4);
+        lost(&mut f, &rest, 4, 6 * SEC);
+        assert_eq!(f.least_at_work(&rest), 5, "a lost router may be at work");
+        f.start(4);
+        settles(&mut f, &all(5), 4 * SEC);
+        assert!(all(5).iter().all(|r| f.view(*r).unwrap().at_work(None) == 5));
+    }
+    f.leave(4);
+    assert!(f.until(4 * SEC, |f| f.say(&rest, 4, Rank::Left) == 1.0).is_some());
+    assert!(rest.iter().all(|r| f.view(*r).unwrap().at_work(None) == 4), "who left in words is counted out");
+}
+
+#[test]
+fn a_partition_counts_all_on_both_sides_and_heals_by_itself_while_a_third_side_falls_off() {
+    let mut f = started(5, 2);
+    f.part(&[0, 1, 2], &[3, 4]);
+    f.run(20 * SEC);
+    assert!(f.same(&[0, 1, 2]) && f.same(&[3, 4]), "each side agrees");
+    assert!(f.say(&[0, 1, 2], 3, Rank::Lost) == 1.0 && f.say(&[3, 4], 0, Rank::Lost) == 1.0);
+    assert_eq!(f.least_at_work(&all(5)), 5, "no side may take the other's part");
+    f.heal();
+    f.run(300 * MS);
+    f.part(&[1], &[0, 2, 3, 4]);
+    settles(&mut f, &[0, 2, 3, 4], 6 * SEC);
+    lost(&mut f, &[0, 2, 3, 4], 1, 8 * SEC);
+    f.heal();
+    settles(&mut f, &all(5), 6 * SEC);
+    assert_eq!(f.least_at_work(&all(5)), 5);
+}
+
+#[test]
+fn one_who_is_heard_by_none_or_hears_none_condemns_nobody() {
+    for hears in [true, false] {
+        let mut f = started(6, 3);
+        let (one, rest) = (vec![5], others(6, 5));
+        let since = f.now;
+        if hears {
+            f.fault(&one, &rest, CUT);
+        } else {
+            f.fault(&rest, &one, CUT);
+        }
+        lost(&mut f, &rest, 5, 10 * SEC);
+        f.run(20 * SEC);
+        let wrongly = |c: &&(Time, usize, Change)| match &c.2 {
+            Change::Router(of, _, r) => c.0 > since && c.1 != 5 && *of != addr(5) && r.rank == Rank::Lost,
+            _ => false,
+        };
+        assert_eq!(f.told.iter().filter(wrongly).count(), 0, "hears {hears}: others are condemned");
+        assert!(f.view(5).unwrap().deaf(), "it knows that nobody answers it");
+        assert_eq!(f.view(5).unwrap().reachable(), 0);
+        f.heal();
+        settles(&mut f, &all(6), 6 * SEC);
+    }
+}
+
+#[test]
+fn ends_of_a_chain_that_cant_reach_each_other_hold_each_other_alive() {
+    let mut f = started(7, 4);
+    let since = f.now;
+    f.part(&[0, 1], &[5, 6]);
+    f.run(60 * SEC);
+    assert_eq!(f.called_lost(since), 0, "those between reach both ends");
+    settles(&mut f, &all(7), 5 * SEC);
+}
+
+#[test]
+fn a_start_that_nobody_noticed_or_comes_under_suspicion_supersedes_and_old_datagrams_change_nothing() {
+    for suspected in [false, true] {
+        let mut f = started(5, 5);
+        let rest = others(5, 2);
+        // What it sends arrives 10 s late.
+        f.fault(&[2], &rest, Link { delay: (10 * SEC, 0), ..Link::default() });
+        if suspected {
+            assert!(f.until(5 * SEC, |f| f.say(&rest, 2, Rank::Suspect) > 0.0).is_some());
+        }
+        f.kill(2);
+        f.heal();
+        f.start(2);
+        settles(&mut f, &all(5), 4 * SEC);
+        let start = |f: &Fleet| f.view(0).unwrap().others().find(|s| s.addr == addr(2)).unwrap().record.start;
+        let new = start(&f);
+        let since = f.now;
+        f.run(12 * SEC);
+        assert_eq!((start(&f), f.called_lost(since)), (new, 0));
+        assert!(f.same(&all(5)));
+        assert_eq!(f.least_at_work(&all(5)), 5);
+    }
+}
+
+#[test]
+fn a_pause_of_a_second_loses_nobody_and_one_of_fifteen_is_over_within_two() {
+    for seed in 1..6 {
+        let mut f = started(5, seed);
+        let since = f.now;
+        f.pause(1);
+        f.run(SEC);
+        f.resume(1);
+        f.run(10 * SEC);
+        assert_eq!(f.called_lost(since), 0, "seed {seed}");
+        f.pause(1);
+        lost(&mut f, &others(5, 1), 1, 8 * SEC);
+        f.run(7 * SEC);
+        f.resume(1);
+        assert!(!f.view(1).unwrap().settled().0, "what it held must be heard anew");
+        let before = f.now;
+        settles(&mut f, &all(5), 2 * SEC);
+        let condemned = |c: &&(Time, usize, Change)| {
+            c.0 >= before && c.1 == 1 && matches!(&c.2, Change::Router(_, _, r) if r.rank >= Rank::Suspect)
+        };
+        assert_eq!(f.told.iter().filter(condemned).count(), 0, "it blames nobody for its own pause");
+    }
+}
+
+#[test]
+fn two_under_one_name_are_two_and_another_fleet_is_none() {
+    let mut f = Fleet::new(6, 6);
+    f.call(3, "n1", "lab");
+    f.call(5, "n6", "other");
+    all(6).into_iter().for_each(|r| f.start(r));
+    settles(&mut f, &all(5), 10 * SEC);
+    let since = f.now;
+    f.run(30 * SEC);
+    let told = |f: &Fleet, what: &dyn Fn(&Change) -> bool| f.told.iter().filter(|c| what(&c.2)).count();
+    assert!(all(5).iter().all(|r| f.view(*r).unwrap().at_work(None) == 5), "both are counted");
+    assert_eq!(told(&f, &|c| matches!(c, Change::NameTwice(n, ..) if n == "n1")), 5, "each says so once");
+    assert_eq!(f.told.iter().filter(|c| c.0 > since + 5 * SEC).count(), 0, "and they don't flap");
+    assert_eq!(f.view(5).unwrap().at_work(None), 1);
+    assert!(f.view(0).unwrap().counts.unread[3] > 0, "what another fleet says is counted and dropped");
+}
+
+#[test]
+fn seeds_that_are_down_or_name_only_the_router_itself_are_no_end() {
+    let mut f = Fleet::new(6, 7);
+    f.seeds(&[0]);
+    all(6)[1..].iter().for_each(|r| f.start(*r));
+    f.run(20 * SEC);
+    assert!((1..6).all(|r| f.view(r).unwrap().at_work(None) == 1), "nobody knows anybody");
+    f.start(0);
+    settles(&mut f, &all(6), 6 * SEC);
+}
+
+#[test]
+fn one_who_loses_half_of_its_datagrams_gets_no_healthy_one_condemned() {
+    for seed in 1..4 {
+        let mut f = started(8, seed);
+        let bad = Link { loss: 0.5, ..Link::default() };
+        f.fault(&[7], &others(8, 7), bad);
+        f.fault(&others(8, 7), &[7], bad);
+        let since = f.now;
+        f.run(120 * SEC);
+        let condemned = |c: &&(Time, usize, Change)| match &c.2 {
+            Change::Router(of, _, r) => c.0 > since && *of != addr(7) && r.rank == Rank::Lost,
+            _ => false,
+        };
+        assert_eq!(f.told.iter().filter(condemned).count(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against views that junk changes, against memory that junk fills, and against being used to send whole views
+/// to whoever replays a datagram.
+#[test]
+fn junk_cut_huge_and_replayed_datagrams_change_nothing() {
+    let mut f = started(5, 8);
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let mut real = f.view(1).unwrap().clone();
+    real.tick(f.now + 20 * SEC);
+    let real: Vec<Vec<u8>> = std::iter::from_fn(|| real.outgoing()).map(|d| d.1).collect();
+    assert!(!real.is_empty());
+    let digest = f.view(0).unwrap().digest();
+    let (since, before) = (f.now, f.view(0).unwrap().counts);
+    for _ in 0..40 {
+        for n in 0..500 {
+            let mut bytes = real[n % real.len()].clone();
+            match n % 5 {
+                0 => bytes = (0..rng.random_range(0..200)).map(|_| rng.random()).collect(),
+                1 => bytes.truncate(rng.random_range(0..bytes.len())),
+                2 => bytes = vec![1; DATAGRAM_MOST + rng.random_range(1..60_000)],
+                3 => {
+                    let bit = rng.random_range(0..bytes.len() * 8);
+                    bytes[bit / 8] ^= 1 << (bit % 8);
+                }
+                _ => {}
+            }
+            f.hand(0, bytes);
+        }
+        f.run(25 * MS);
+    }
+    f.run(3 * SEC);
+    assert_eq!(f.view(0).unwrap().digest(), digest);
+    assert_eq!(f.called_lost(since), 0);
+    let after = f.view(0).unwrap().counts;
+    assert!(after.unread.iter().sum::<u64>() - before.unread.iter().sum::<u64>() >= 15_000);
+    assert!(after.sent.0 - before.sent.0 < 300 + after.received.0 - before.received.0 - 15_000);
+    assert!(f.same(&all(5)));
+}
+
+/// Guards against a table that grows without end, and against one that forgets who may be at work.
+#[test]
+fn a_full_table_counts_whom_it_can_not_remember() {
+    let mut f = Fleet::new(MEMBERS_MOST + 41, 10);
+    f.seeds(&[0]);
+    f.start(0);
+    for r in 1..MEMBERS_MOST + 41 {
+        f.start(r);
+        f.run(MS);
+        f.kill(r);
+    }
+    f.run(SEC);
+    assert!(f.view(0).unwrap().others().count() <= MEMBERS_MOST);
+    assert_eq!(f.view(0).unwrap().at_work(None) as usize, MEMBERS_MOST + 41);
+}
+
+#[test]
+fn three_hundred_survive_restarts_mass_death_and_a_zone_that_is_cut_off() {
+    const N: usize = 300;
+    let mut f = Fleet::new(N, 11);
+    f.every.loss = 0.01;
+    let mut order = all(N);
+    order.rotate_left(7);
+    for r in order {
+        f.start(r);
+        f.run(3 * MS);
+    }
+    settles(&mut f, &all(N), 10 * SEC);
+    // One tenth is restarted every 5 s.
+    for tenth in 0..4 {
+        (0..N).filter(|r| r % 10 == tenth).for_each(|r| f.start(r));
+        f.run(5 * SEC);
+    }
+    settles(&mut f, &all(N), 5 * SEC);
+    assert_eq!(f.least_at_work(&all(N)), N as u32);
+    // A zone is cut off and back.
+    let (zone, rest): (Vec<usize>, Vec<usize>) = all(N).into_iter().partition(|r| r % 4 == 1);
+    f.part(&zone, &rest);
+    f.run(15 * SEC);
+    assert_eq!(f.least_at_work(&all(N)), N as u32);
+    f.heal();
+    settles(&mut f, &all(N), 8 * SEC);
+    // Seven in ten die at once.
+    let (dead, left): (Vec<usize>, Vec<usize>) = all(N).into_iter().partition(|r| r % 10 < 7);
+    dead.iter().for_each(|r| f.kill(*r));
+    let known = f.until(40 * SEC, |f| dead.iter().all(|d| f.say(&left, *d, Rank::Lost) == 1.0));
+    assert!(known.is_some(), "all the dead are known to be lost");
+    assert!(f.same(&left) && f.least_at_work(&left) == N as u32);
+}
+
+/// Seeded schedules against a plain model: who runs, who was ever heard of, who left. Whoever runs is counted by all
+/// who ever knew him, records never go back, and when links are sound all that run hold one view.
+#[test]
+fn whatever_happens_who_may_be_at_work_is_counted_and_all_settle_again() {
+    for seed in 0..300 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let n = rng.random_range(3..7);
+        let mut f = started(n, seed);
+        // Whom each knows since its start, who ever left, and the latest record that each had of each.
+        let (mut knows, mut left) = (vec![all(n); n], vec![false; n]);
+        let mut last = std::collections::BTreeMap::new();
+        for _ in 0..rng.random_range(2..8) {
+            let r = rng.random_range(0..n);
+            match rng.random_range(0..8) {
+                0 => f.kill(r),
+                1 | 2 => {
+                    f.clock(r, rng.random_range(-3_600_000_000..3_600_000_000));
+                    f.start(r);
+                    knows[r].clear();
+                    last.retain(|(by, _), _| *by != r);
+                }
+                3 => f.pause(r),
+                4 => {
+                    f.resume(r);
+                }
+                5 if f.up().contains(&r) => {
+                    f.leave(r);
+                    left[r] = true;
+                }
+                6 => {
+                    let side: Vec<usize> = all(n).into_iter().filter(|_| rng.random()).collect();
+                    let rest: Vec<usize> = all(n).into_iter().filter(|r| !side.contains(r)).collect();
+                    f.fault(
+                        &side,
+                        &rest,
+                        if rng.random() { CUT } else { Link { loss: 0.4, twice: 0.3, ..CUT } },
+                    );
+                    f.links.values_mut().for_each(|l| l.cut &= rng.random::<f64>() < 0.8);
+                }
+                _ => {
+                    f.heal();
+                    f.every = Link { loss: 0.2, twice: 0.2, flipped: 0.1, delay: (0, 300 * MS), cut: false };
+                }
+            }
+            f.run(rng.random_range(10 * MS..8 * SEC));
+            for by in f.up() {
+                let view = f.view(by).unwrap();
+                for of in others(n, by) {
+                    let record = view.record(addr(of));
+                    if knows[by].contains(&of) {
+                        let counted = record.is_some_and(|r| r.rank != Rank::Left);
+                        assert!(counted || left[of], "seed {seed}: {by} does not count {of}");
+                    }
+                    if let Some(record) = record {
+                        let before = last.insert((by, of), record.clone());
+                        assert!(before.is_none_or(|b| b <= *record), "seed {seed}: a record went back");
+                        knows[by].push(of);
+                    }
+                }
+            }
+        }
+        f.heal();
+        f.every = Link::default();
+        (0..n).for_each(|r| f.resume(r));
+        let up = f.up();
+        if up.len() > 1 && (0..n.min(3)).any(|s| up.contains(&s)) {
+            settles(&mut f, &up, 30 * SEC);
+        }
+    }
+}
