Let routers know each other: driver, door, numbers, command, and tests with faults between

Need: the view of the fleet in service, off without the section fleet of the operator's file. One UDP socket in the epoll loop, at most 64 datagrams read and sent a turn, after clients; one timer. The number of routers that may be at work takes the place of the configured one where limits are divided: the configured one is the floor until the view was settled once with as many. GET /status/fleet, svc.fleet_ lines, hollymux fleet, one log line a change. A replacement takes over address and identity.

A relay (crates/lab/src/relay.rs) holds a fault for each directed link between processes.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -93,6 +93,11 @@
         self.phase() == Phase::Ready
     }
 
+    /// Whether another process has this one's addresses.
+    pub fn handed_over(&self) -> bool {
+        self.replaced
+    }
+
     /// Whether new connections are taken. Standby takes them: a front sends some until it has noticed, and whom
     /// nobody takes is lost.
     pub fn accepts(&self, now: Time) -> bool {
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -425,6 +425,11 @@
         }
     }
 
+    /// So many routers may be at work, in all and in this one's zone: limits are divided by that.
+    pub fn count_routers(&mut self, all: u32, here: u32) {
+        self.control.count_routers(all, here);
+    }
+
     /// Shares cold budgets with another process that works at this one's place, or no longer.
     pub fn share(&mut self, with_another: bool) {
         self.control.share(u32::from(with_another));
--- a/crates/decide/src/retune.rs
+++ b/crates/decide/src/retune.rs
@@ -11,9 +11,25 @@
         self.fleet.further = further;
     }
 
+    /// So many dispatchers may be at work, in all and in the own zone; the settings' numbers count no longer.
+    pub fn count_routers(&mut self, all: u32, here: u32) {
+        // Where the zones' numbers are not told, all share every host.
+        let here = if self.settings.dispatchers_by_zone.is_empty() { all } else { here };
+        self.fleet.counted = Some((all.max(1), here.max(1)));
+    }
+
     /// How many dispatchers share a host.
     pub(crate) fn sharing(&self, h: &Host) -> u32 {
-        let named = self.settings.sharing(h.role == Role::Own, h.entry.zone);
+        let named = match self.fleet.counted {
+            Some((all, here)) => {
+                if h.role == Role::Own {
+                    here
+                } else {
+                    all
+                }
+            }
+            None => self.settings.sharing(h.role == Role::Own, h.entry.zone),
+        };
         named.saturating_add(self.fleet.further)
     }
 
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -226,6 +226,8 @@
     ready: BTreeMap<Role, Vec<HostId>>,
     /// Dispatchers that use them beyond those that the settings name.
     pub(crate) further: u32,
+    /// Dispatchers that may be at work, in all and in the own zone, where that is known better than by the settings.
+    pub(crate) counted: Option<(u32, u32)>,
 }
 
 impl Fleet {
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -244,8 +244,7 @@
             counts: Counts::default(),
             setup,
         };
-        // Not all routers of a fleet that starts at once probe in step.
-        view.next_probe = now + view.draw(view.setup.times.probe);
+        view.begin(now);
         view.tick(now);
         view
     }
@@ -289,6 +288,31 @@
         }
     }
 
+    /// This process goes on in the place of another one at the same address, which says nothing any more: under its
+    /// start, so that nobody sees it go or come. What this one would have said under its own start is not sent.
+    pub fn succeed(&mut self, now: Time, start: u64, incarnation: u32) {
+        self.begin(now);
+        let old = self.record.clone();
+        let record = Record { start, incarnation: incarnation.saturating_add(1), ..old.clone() };
+        if !record.usable() {
+            return;
+        }
+        self.out.clear();
+        self.record = record;
+        self.digests.turn(self.setup.addr, &old);
+        self.digests.turn(self.setup.addr, &self.record);
+        self.news.insert(self.setup.addr, 0);
+    }
+
+    /// From now on others are heard: that they were not before is no stall of this process.
+    pub fn begin(&mut self, now: Time) {
+        self.now = now.max(self.now);
+        (self.differed, self.probe) = (self.now, None);
+        (self.next_tell, self.next_retry) = (self.now, self.now);
+        // Not all routers of a fleet that starts at once probe in step.
+        self.next_probe = self.now + self.draw(self.setup.times.probe);
+    }
+
     /// This router ends: it says so to a few, who tell the others. Nothing is answered from then on.
     pub fn leave(&mut self, now: Time) {
         self.pass(now);
@@ -379,10 +403,10 @@
         (known + self.beyond.len() + usize::from(here(&self.record))) as u32
     }
 
-    /// By how many routers limits are divided, where so many are configured: no fewer than may be at work, and no
-    /// fewer than configured until the view was once settled with so many.
-    pub fn sharing(&self, zone: Option<&str>, configured: u32) -> u32 {
-        let floor = if self.complete >= configured { 1 } else { configured };
+    /// By how many routers limits are divided, of an office or of all, where so many are configured there: no fewer than
+    /// may be at work, and no fewer than configured until the view was once settled with as many as configured in all.
+    pub fn sharing(&self, zone: Option<&str>, configured: u32, in_all: u32) -> u32 {
+        let floor = if self.complete >= in_all { 1 } else { configured };
         self.at_work(zone).max(floor)
     }
 
--- a/crates/hollymux/src/main.rs
+++ b/crates/hollymux/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: sub-commands, nothing else.
 
 mod check;
+mod fleet;
 mod lab;
 mod logs;
 mod plan;
@@ -25,6 +26,7 @@
   hollymux lab run examples/day.json5 --report out        play a day on loopback, with a page of plots
   hollymux record info load/*.hmxload                     what a recording holds, and what is missing
   hollymux plan --load load/*.hmxload --fleet examples/fleet.json5 --scale 1.4
+  hollymux fleet --door 127.0.0.1:5051                    what a router knows of the others
   hollymux completions bash > hollymux.bash               completions for a shell
 
 Exit codes: 0 done, 1 ran and failed, 2 called wrongly or given what can't be used.";
@@ -52,6 +54,8 @@
     },
     /// Plan: what breaks first, how many boxes a goal needs, what losses do
     Plan(plan::Options),
+    /// Print what a router in service knows of the other routers
+    Fleet(fleet::Options),
     /// Read recorded load
     Record {
         #[command(subcommand)]
@@ -104,6 +108,7 @@
         Command::Check(options) => check::run(&options),
         Command::Lab { command } => lab::run(command),
         Command::Plan(options) => plan::run(&options),
+        Command::Fleet(options) => fleet::run(&options),
         Command::Record { command } => record::run(command),
         Command::Completions { shell } => {
             let mut text = Vec::new();
--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 pub use standins::*;
 
+use std::cell::RefCell;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -52,7 +53,10 @@
     pub dns: Option<SocketAddr>,
     /// Where operators are answered, if they are.
     pub door: Option<SocketAddr>,
+    /// Where it hears other routers, if it does.
+    pub heard: Option<SocketAddr>,
     lines: Receiver<String>,
+    kept: RefCell<Vec<String>>,
     dir: PathBuf,
 }
 
@@ -129,8 +133,13 @@
     }
 
     pub fn with_operator(feed: &Feed, text: &str) -> Node {
+        Node::with_sections(&config(feed.addr), text)
+    }
+
+    /// A router with this configuration and these sections of an operator's file.
+    pub fn with_sections(config: &str, text: &str) -> Node {
         let operator = file("operator.json5", text);
-        Node::spawn(&config(feed.addr), &["serve", "--operator", operator.to_str().unwrap()])
+        Node::spawn(config, &["serve", "--operator", operator.to_str().unwrap()])
     }
 
     /// A router with a variable of its environment set.
@@ -147,6 +156,13 @@
         Node::wait(command.env("TMPDIR", dir), &path)
     }
 
+    /// The same with these sections of an operator's file.
+    pub fn meeting_with(config: &str, text: &str, dir: &std::path::Path) -> Node {
+        let (path, operator) = (file("config.json", config), file("operator.json5", text));
+        let mut command = command(&path, &["serve", "--operator", operator.to_str().unwrap()]);
+        Node::wait(command.env("TMPDIR", dir), &path)
+    }
+
     fn spawn(config: &str, args: &[&str]) -> Node {
         let path = file("config.json", config);
         Node::wait(command(&path, args).env_remove("TMPDIR"), &path)
@@ -157,7 +173,7 @@
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (tx, lines) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| tx.send(l).is_ok()));
-        let (mut addr, mut answers, mut door) = (None, None, None);
+        let (mut addr, mut answers, mut door, mut heard) = (None, None, None, None);
         while addr.is_none() {
             let line = lines.recv_timeout(LONG).expect("the program says where it listens");
             // Behind the words in text, up to the quote in JSON.
@@ -167,12 +183,13 @@
             };
             addr = addr.or_else(|| word("listening on "));
             door = door.or_else(|| word("operators are answered on "));
+            heard = heard.or_else(|| word("other routers are heard on "));
             if line.contains("DNS for") {
                 answers = word(" on ");
             }
         }
         let dir = path.parent().unwrap().to_path_buf();
-        Node { child, addr: addr.unwrap(), dns: answers, door, lines, dir }
+        Node { child, addr: addr.unwrap(), dns: answers, door, heard, lines, kept: RefCell::default(), dir }
     }
 
     pub fn signal(&self, name: &str) {
@@ -191,6 +208,13 @@
         until(words, || self.lines.try_iter().find(|l| l.contains(words)))
     }
 
+    /// How many lines of its log so far hold these words, but for those that [`Node::says`] has passed.
+    pub fn said(&self, words: &str) -> usize {
+        let mut kept = self.kept.borrow_mut();
+        kept.extend(self.lines.try_iter());
+        kept.iter().filter(|l| l.contains(words)).count()
+    }
+
     /// How it ended, and what it said meanwhile.
     pub fn ended(&mut self) -> (ExitStatus, Vec<String>) {
         let status = until("the program's end", || self.child.try_wait().unwrap());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod pipe;
 pub mod platform;
+pub mod relay;
 pub mod report;
 pub mod sockets;
 pub mod virtually;
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,292 @@
+//! The driver of the fleet's view: one socket, one timer, and the number of routers for the core. What the datagrams
+//! mean is in `hollymux-fleet`. Without the section `fleet` of the operator's file nothing of this exists.
+
+use super::*;
+use crate::operator::Section;
+use hollymux_fleet::view::{Change, Phase as Doing, Rank, Record, Seen, Setup, Times, View, DATAGRAM_MOST};
+use serde_json::{json, Value};
+
+/// Datagrams that are read, and sent, in one turn of the loop: clients come before the rest.
+const TURN: usize = 64;
+
+/// The view with its socket.
+pub(super) struct Fleet {
+    section: Section,
+    view: View,
+    /// The socket's place; none while another process has it, or while it can't be had.
+    socket: Option<Key>,
+    /// The timer that is set; those set for later are passed over.
+    planned: Time,
+    /// What the core was told last: routers in all, and in this office.
+    told: (u32, u32),
+    /// Datagrams that the socket did not take.
+    unsent: u64,
+}
+
+impl Fleet {
+    /// The view of a router with this section, which has not heard of anybody.
+    pub(super) fn new(section: &Section, config: &Config, now: Time) -> Fleet {
+        let zone = config.names.zones.get(usize::from(config.settings.zone));
+        let ms = |v: u64| v * MS;
+        let setup = Setup {
+            fleet: section.name.clone(),
+            name: config.name.clone(),
+            zone: zone.cloned().unwrap_or_default(),
+            addr: section.advertised(),
+            seeds: section.seeds.clone(),
+            start: now,
+            times: Times {
+                probe: ms(section.probe_ms),
+                answer: ms(section.answer_ms),
+                tell: ms(section.tell_ms),
+                suspect_least: ms(section.suspect_least_ms),
+                suspect_most: ms(section.suspect_most_ms),
+                retry: ms(section.retry_ms),
+            },
+            seed: config.seed ^ now,
+        };
+        let view = View::new(setup, now);
+        Fleet { section: section.clone(), view, socket: None, planned: 0, told: (0, 0), unsent: 0 }
+    }
+}
+
+impl Driver {
+    /// Opens the socket, if there is a section for it and nobody else has it. What can't be had yet is asked for again:
+    /// that is no reason not to serve, and until then the configured number of routers counts.
+    pub(super) fn open_fleet(&mut self) {
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.socket.is_none()) else { return };
+        let at = fleet.section.listen;
+        let opened = UdpSocket::bind(at).and_then(|s| s.set_nonblocking(true).map(|()| s));
+        match opened.and_then(|socket| Ok((socket.local_addr()?, self.place(Role::Fleet(socket))?))) {
+            Ok((addr, key)) => {
+                info!("other routers are heard on {addr}");
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.socket = Some(key);
+                    fleet.view.begin(self.now);
+                }
+                self.fleet_turn();
+            }
+            Err(e) => debug!("other routers can't be heard on {at} yet: {e}"),
+        }
+    }
+
+    pub(super) fn on_fleet(&mut self, socket: &mut UdpSocket) -> Fate {
+        let Some(mut fleet) = self.fleet.take() else { return Fate::Close };
+        // One byte more than is ever read shows what is too long.
+        let mut bytes = [0; DATAGRAM_MOST + 1];
+        for _ in 0..TURN {
+            match socket.recv(&mut bytes) {
+                Ok(n) => fleet.view.datagram(self.now, &bytes[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                // A datagram that could not be delivered somewhere is told here; it ends nothing.
+                Err(_) => {}
+            }
+        }
+        self.fleet = Some(fleet);
+        self.fleet_after(Some(socket));
+        Fate::Keep
+    }
+
+    /// The view's timer is due.
+    pub(super) fn fleet_turn(&mut self) {
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.socket.is_some()) else { return };
+        if self.now >= fleet.view.due() {
+            fleet.view.tick(self.now);
+        }
+        if self.now >= fleet.planned {
+            fleet.planned = 0;
+        }
+        self.fleet_after(None);
+    }
+
+    /// Sends what the view wants sent, says what has changed and plans its next timer.
+    fn fleet_after(&mut self, socket: Option<&UdpSocket>) {
+        let Some(mut fleet) = self.fleet.take() else { return };
+        let placed = match fleet.socket.and_then(|key| self.seen(key)) {
+            Some(Role::Fleet(s)) => Some(s),
+            _ => None,
+        };
+        let mut more = false;
+        if let Some(socket) = socket.or(placed) {
+            for sent in 0.. {
+                more = sent == TURN;
+                let Some((to, bytes)) = Some(()).filter(|()| !more).and_then(|()| fleet.view.outgoing())
+                else {
+                    break;
+                };
+                if socket.send_to(&bytes, to).is_err() {
+                    fleet.unsent += 1;
+                }
+            }
+        }
+        while let Some(change) = fleet.view.change() {
+            say(&change);
+        }
+        let settings = self.router.settings();
+        let here = settings.dispatchers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(0);
+        let zone = fleet.view.own().1.zone.clone();
+        let told = (
+            fleet.view.sharing(None, settings.dispatchers, settings.dispatchers),
+            fleet.view.sharing(Some(&zone), here, settings.dispatchers),
+        );
+        if told != fleet.told {
+            info!(
+                "{} routers may be at work, {} of them in this office: limits are divided by that",
+                told.0, told.1
+            );
+            fleet.told = told;
+            self.router.count_routers(told.0, told.1);
+        }
+        let due = if more { self.now } else { fleet.view.due() };
+        if fleet.planned == 0 || due < fleet.planned {
+            fleet.planned = due.max(self.now + 1);
+            self.wheel.set(fleet.planned, Timer::Fleet);
+        }
+        self.fleet = Some(fleet);
+    }
+
+    /// What this router does has changed.
+    pub(super) fn fleet_phase(&mut self) {
+        let doing = match self.lifecycle.phase() {
+            Phase::Starting => return,
+            Phase::Ready => Doing::Ready,
+            Phase::Standby => Doing::Standby,
+            Phase::Replaced => Doing::Replaced,
+            Phase::Stopping => Doing::Stopping,
+        };
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.socket.is_some()) else { return };
+        let joining = fleet.view.own().1.phase == Doing::Joining && doing == Doing::Ready;
+        if !joining {
+            fleet.view.phase(self.now, doing);
+            self.fleet_after(None);
+        }
+    }
+
+    /// This router ends, and says so.
+    pub(super) fn fleet_leave(&mut self) {
+        if let Some(fleet) = self.fleet.as_mut().filter(|f| f.socket.is_some()) {
+            fleet.view.leave(self.now);
+            self.fleet_after(None);
+        }
+    }
+
+    /// Gives the address away with what others know this router by; none if there is nothing to give.
+    pub(super) fn fleet_give(&mut self) -> Option<(u64, u32)> {
+        let fleet = self.fleet.as_mut()?;
+        let key = fleet.socket.take()?;
+        let record = fleet.view.own().1;
+        let identity = (record.start, record.incarnation);
+        self.close(key);
+        Some(identity)
+    }
+
+    /// Goes on under the identity of the process that had the address: nobody sees it go or come.
+    pub(super) fn fleet_inherit(&mut self, start: u64, incarnation: u32) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.view.succeed(self.now, start, incarnation);
+        }
+        self.open_fleet();
+    }
+
+    /// The view for operators; none if there is none.
+    pub(super) fn fleet_status(&self) -> Option<Value> {
+        let fleet = self.fleet.as_ref()?;
+        let view = &fleet.view;
+        let (addr, own) = view.own();
+        let (settled, since) = view.settled();
+        let shown = |addr: SocketAddr, r: &Record| {
+            json!({"address": addr.to_string(), "name": r.name, "office": r.zone, "state": r.rank.name(),
+                   "doing": r.phase.name(), "start": r.start, "incarnation": r.incarnation})
+        };
+        let seconds = |t: Time| t as f64 / 1e6;
+        let other = |s: Seen| {
+            let mut line = shown(s.addr, &s.record);
+            line["for_s"] = json!(seconds(s.age));
+            line["answered_s_ago"] = json!(s.answered.map(seconds));
+            line["agrees"] = json!(s.agrees);
+            line
+        };
+        let c = view.counts;
+        Some(json!({
+            "fleet": fleet.section.name,
+            "own": shown(addr, own),
+            "heard": fleet.socket.is_some(),
+            "settled": settled,
+            "settled_or_not_for_s": seconds(since),
+            "deaf": view.deaf(),
+            "health": view.health(),
+            "digest": format!("{:016x}", view.digest()),
+            "reachable": view.reachable() + 1,
+            "at_work_perhaps": view.at_work(None),
+            "limits_divided_by": fleet.told.0,
+            "limits_divided_here_by": fleet.told.1,
+            "datagrams": {"received": c.received.0, "sent": c.sent.0, "unread": c.unread, "unsent": fleet.unsent,
+                          "dropped": c.dropped},
+            "others": view.others().map(other).collect::<Vec<Value>>(),
+        }))
+    }
+
+    /// The view in numbers, for the metrics; nothing without one.
+    pub(super) fn fleet_figures(&self) -> String {
+        let Some(fleet) = &self.fleet else { return String::new() };
+        let view = &fleet.view;
+        let ranked = |rank| view.others().filter(|s| s.record.rank == rank).count() as u64;
+        let c = view.counts;
+        let lines = [
+            ("reachable", view.reachable() as u64 + 1),
+            ("at_work_perhaps", u64::from(view.at_work(None))),
+            ("divided_by", u64::from(fleet.told.0)),
+            ("divided_here_by", u64::from(fleet.told.1)),
+            ("suspect", ranked(Rank::Suspect)),
+            ("lost", ranked(Rank::Lost)),
+            ("left", ranked(Rank::Left)),
+            ("settled", u64::from(view.settled().0)),
+            ("deaf", u64::from(view.deaf())),
+            ("health", u64::from(view.health())),
+            ("refuted", c.refuted),
+            ("received", c.received.0),
+            ("received_bytes", c.received.1),
+            ("sent", c.sent.0),
+            ("sent_bytes", c.sent.1),
+            ("unread", c.unread.iter().sum()),
+            ("unsent", fleet.unsent),
+        ];
+        lines.iter().map(|(name, value)| format!("svc.fleet_{name}={value}\n")).collect()
+    }
+}
+
+/// One line for each change, once, with its cause.
+fn say(change: &Change) {
+    match change {
+        Change::Router(of, None, r) => {
+            info!("fleet: {} at {of} is {}, {}", r.name, r.rank.name(), r.phase.name())
+        }
+        Change::Router(of, Some(old), r) if old.rank == r.rank => {
+            debug!("fleet: {} at {of} is {}, incarnation {}", r.name, r.phase.name(), r.incarnation);
+        }
+        Change::Router(of, Some(_), r) => match r.rank {
+            Rank::Alive => info!("fleet: {} at {of} is alive: it has refuted what was said", r.name),
+            Rank::Suspect => info!("fleet: {} at {of} is suspect: a probe went unanswered", r.name),
+            Rank::Lost => {
+                warn!("fleet: {} at {of} is lost: it did not refute that in time; it may be at work", r.name)
+            }
+            Rank::Left => info!("fleet: {} at {of} has left, by its own word", r.name),
+        },
+        Change::Restarted(of, r) => info!("fleet: {} at {of} has started anew", r.name),
+        Change::NameTwice(name, a, b) => {
+            warn!("fleet: {a} and {b} are both called {name}: both are counted; was a configuration copied?");
+        }
+        Change::Refuted(rank) => info!("fleet: others held this router to be {}; refuted", rank.name()),
+        Change::Superseded(start) => {
+            info!("fleet: a start of this address was known that is not before this one; now start {start}");
+        }
+        Change::Stalled(long) => {
+            warn!("fleet: this process stood still for {} ms; what it held is asked for anew", long / MS);
+        }
+        Change::Deaf(true) => warn!("fleet: nobody answers this router: what it says of others is old"),
+        Change::Deaf(false) => info!("fleet: others answer again"),
+        Change::Settled(true) => info!("fleet: the view is settled"),
+        Change::Settled(false) => debug!("fleet: the view is not settled"),
+        Change::Full(of) => warn!("fleet: no room to remember {of}; it is only counted"),
+    }
+}
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -221,6 +221,9 @@
                 driver.live(Event::Replaced);
                 let since = driver.router.new_filings();
                 peer.out.extend(Message::Filings(since).bytes());
+                if let Some((start, incarnation)) = driver.fleet_give() {
+                    peer.out.extend(Message::Fleet(start, incarnation).bytes());
+                }
                 peer.out.extend(Message::Yours.bytes());
                 true
             }
@@ -235,6 +238,10 @@
                 driver.router.recall_filings(driver.now, &filings);
                 true
             }
+            Message::Fleet(start, incarnation) => {
+                driver.fleet_inherit(start, incarnation);
+                true
+            }
             Message::Yours => {
                 driver.began();
                 true
@@ -328,6 +335,13 @@
         self.router.keep_filings();
         self.share();
         self.live(Event::Alone);
+        // It had put its own meeting place where this one's was.
+        if let Some(key) = self.meeting.take() {
+            self.close(key);
+        }
+        if self.lifecycle.accepts(self.now) {
+            self.open_meeting();
+        }
     }
 
     /// The old process is gone.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod dns;
 mod feed;
+mod fleet;
 mod handover;
 mod operations;
 pub mod operator;
@@ -78,6 +79,7 @@
     Go(Key),
     Quiet,
     Yours,
+    Fleet,
     Over,
 }
 
@@ -96,6 +98,7 @@
     Meeting(UnixListener),
     Heir(Peer),
     Forebear(Peer),
+    Fleet(UdpSocket),
 }
 
 struct Place {
@@ -231,6 +234,8 @@
     forebear: Option<Key>,
     /// What that one handed over, until this one serves.
     legacy: Option<Box<Legacy>>,
+    /// What this router knows of others, if it is to know them.
+    fleet: Option<Box<fleet::Fleet>>,
     /// Limits are shared with one of them.
     shared: bool,
     /// When the control feed told something last.
@@ -279,6 +284,7 @@
             heir: None,
             forebear: None,
             legacy: None,
+            fleet: None,
             shared: false,
             feed_told: 0,
             over: false,
@@ -308,6 +314,13 @@
         driver.listener = driver.place(Role::Listener(listener))?;
         driver.open_dns()?;
         driver.open_door();
+        if let Some(section) = &driver.operator.fleet {
+            driver.fleet = Some(Box::new(fleet::Fleet::new(section, &driver.config, driver.now)));
+        }
+        // One who replaces another is given the address.
+        if driver.forebear.is_none() {
+            driver.open_fleet();
+        }
         driver.wheel.set(now + ROUND, Timer::Round);
         driver.wheel.set(driver.now + BEGIN, Timer::Begin);
         driver.open_feed();
@@ -342,9 +355,13 @@
                 Err(e) => return Err(e.into()),
             }
             self.now = self.clock.now();
-            // Operators first: they are few, and wait a second at most.
-            if self.door.is_some() {
-                events.sort_by_key(|e| !self.at_door(e.data.u64()));
+            // Operators first: they are few, and wait a second at most. Other routers last: clients come before them.
+            if self.door.is_some() || self.fleet.is_some() {
+                events.sort_by_key(|e| match self.seen(e.data.u64()) {
+                    Some(Role::DoorListener(_) | Role::DoorConn(_)) => 0,
+                    Some(Role::Fleet(_)) => 2,
+                    _ => 1,
+                });
             }
             for event in &events {
                 self.on_event(event.data.u64(), event.flags);
@@ -353,6 +370,7 @@
                 self.on_timer(timer);
             }
         }
+        self.fleet_leave();
         Ok(())
     }
 
@@ -373,6 +391,7 @@
             Role::Meeting(l) => self.on_meeting(l),
             Role::Heir(p) => self.on_heir(key, p, flags),
             Role::Forebear(p) => self.on_forebear(key, p, flags),
+            Role::Fleet(s) => self.on_fleet(s),
         };
         self.put_back(key, role, fate);
         self.settle();
@@ -387,6 +406,9 @@
             Timer::Round => {
                 self.wheel.set(self.now + ROUND, Timer::Round);
                 self.open_door();
+                if self.forebear.is_none() && !self.lifecycle.handed_over() {
+                    self.open_fleet();
+                }
                 self.look_after();
             }
             Timer::Listen => self.listen_again(),
@@ -400,6 +422,7 @@
             Timer::Go(key) => self.go(key),
             Timer::Quiet => self.begin(false),
             Timer::Yours => self.began(),
+            Timer::Fleet => self.fleet_turn(),
             Timer::Over => self.over = true,
         }
         self.settle();
@@ -420,6 +443,7 @@
         }
         if before != after {
             info!("{before:?} -> {after:?}");
+            self.fleet_phase();
         }
         self.listen_or_not();
         done
@@ -595,6 +619,7 @@
                 Role::DoorConn(c) => self.door_round(c),
                 Role::Listener(_) | Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => Fate::Keep,
                 Role::DoorListener(_) | Role::Signal(..) | Role::Meeting(_) | Role::Forebear(_) => Fate::Keep,
+                Role::Fleet(_) => Fate::Keep,
                 Role::Heir(p) => self.heir_round(p),
             };
             self.put_back(key, role, fate);
@@ -667,10 +692,6 @@
         self.at(key)?.role.as_mut()
     }
 
-    fn at_door(&self, key: Key) -> bool {
-        matches!(self.seen(key), Some(Role::DoorListener(_) | Role::DoorConn(_)))
-    }
-
     fn take(&mut self, key: Key) -> Option<Role> {
         self.at(key)?.role.take()
     }
@@ -703,7 +724,7 @@
             Role::Listener(_) | Role::Signal(..) => {}
             Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => {}
             Role::DoorListener(_) => self.door = None,
-            Role::DoorConn(_) | Role::Meeting(_) => {}
+            Role::DoorConn(_) | Role::Meeting(_) | Role::Fleet(_) => {}
             Role::Heir(_) => self.heir_closed(),
             Role::Forebear(_) => self.forebear_closed(),
         }
@@ -766,7 +787,7 @@
         Role::Client(c) => c.stream.socket.as_fd(),
         Role::Shelf(s) => s.stream.socket.as_fd(),
         Role::Feed(f) => f.stream.socket.as_fd(),
-        Role::DnsUdp(s) | Role::Resolver(s) => s.as_fd(),
+        Role::DnsUdp(s) | Role::Resolver(s) | Role::Fleet(s) => s.as_fd(),
         Role::DnsListener(l) | Role::DoorListener(l) => l.as_fd(),
         Role::DoorConn(c) => c.stream.socket.as_fd(),
         Role::Meeting(l) => l.as_fd(),
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use hollymux_core::figures::Gauges;
-use hollymux_wire::operations::{answer, Asked, Call, Reader};
+use hollymux_wire::operations::{answer, answer_json, Asked, Call, Reader};
 use rustix::net::Shutdown;
 
 /// Connections at the door at a time; the oldest that has not finished its call gives way to a new one.
@@ -94,7 +94,8 @@
     fn called(&mut self, asked: Asked) -> Vec<u8> {
         let done = match asked.call {
             Call::Status => Ok(format!("{}\n", phase(self.lifecycle.phase()))),
-            Call::Metrics => Ok(self.figures()),
+            Call::Metrics => Ok(self.figures() + &self.fleet_figures()),
+            Call::Fleet => return self.fleet_answer(asked),
             Call::Standby => self.change(Event::Standby),
             Call::Active => self.change(Event::Active),
         };
@@ -106,6 +107,14 @@
         answer(status, None, &done.unwrap_or_else(|text| text), asked.head_only)
     }
 
+    /// What this router knows of others; 404 where it is to know none.
+    fn fleet_answer(&self, asked: Asked) -> Vec<u8> {
+        match self.fleet_status() {
+            Some(status) => answer_json(&status.to_string(), asked.head_only),
+            None => answer(404, None, "no: the section fleet is off\n", asked.head_only),
+        }
+    }
+
     fn change(&mut self, event: Event) -> Result<String, String> {
         let done = self.live(event);
         let text = format!("{}\n", phase(self.lifecycle.phase()));
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -15,6 +15,94 @@
     pub dns: Option<Dns>,
     /// Recording of the load, for plans.
     pub record: Option<Record>,
+    /// Routers that know each other.
+    pub fleet: Option<Section>,
+}
+
+/// Routers that know each other (docs/fleet.md has the reasons for the times).
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Section {
+    /// The fleet's name: what routers of other fleets say is dropped.
+    pub name: String,
+    /// Where this router hears others, over UDP. Datagrams are not authenticated: a network of its own only.
+    pub listen: SocketAddr,
+    /// The address that others send to. Default: `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Routers to ask at the start, by the addresses that they advertise. Some should be there at any time.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// From one probe to the next. Default: 500.
+    #[serde(default = "probe_ms")]
+    pub probe_ms: u64,
+    /// After this long others are asked to probe who has not answered. Default: 150.
+    #[serde(default = "answer_ms")]
+    pub answer_ms: u64,
+    /// From one telling of news to the next. Default: 200.
+    #[serde(default = "tell_ms")]
+    pub tell_ms: u64,
+    /// A suspicion that others confirm ends in a loss after this long. Default: 1500.
+    #[serde(default = "suspect_least_ms")]
+    pub suspect_least_ms: u64,
+    /// One that nobody confirms ends in a loss after this long. Default: 4500.
+    #[serde(default = "suspect_most_ms")]
+    pub suspect_most_ms: u64,
+    /// Routers that are lost are tried again no more often than this. Default: 1000.
+    #[serde(default = "retry_ms")]
+    pub retry_ms: u64,
+}
+
+impl Section {
+    /// The address that others send to.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+
+    fn check(&self, faults: &mut Faults) {
+        faults.unless((1..=64).contains(&self.name.len()), "fleet.name", "must have 1 to 64 bytes");
+        let known = |a: SocketAddr| !a.ip().is_unspecified() && a.port() != 0;
+        let field = if self.advertise.is_some() { "fleet.advertise" } else { "fleet.listen" };
+        let why = "is no address that others can send to; give one in advertise";
+        faults.unless(known(self.advertised()), field, why);
+        faults.unless(self.seeds.len() <= 64, "fleet.seeds", "must be no more than 64");
+        for (i, seed) in self.seeds.iter().enumerate() {
+            faults.unless(known(*seed), format!("fleet.seeds[{i}]"), "is no address to send to");
+        }
+        let within = |v: u64, least, most| (least..=most).contains(&v);
+        faults.unless(within(self.probe_ms, 100, 10_000), "fleet.probe_ms", "must lie between 100 and 10000");
+        let answer = within(self.answer_ms, 10, self.probe_ms.saturating_sub(1));
+        faults.unless(answer, "fleet.answer_ms", "must be at least 10 and less than probe_ms");
+        faults.unless(within(self.tell_ms, 50, 10_000), "fleet.tell_ms", "must lie between 50 and 10000");
+        let least = within(self.suspect_least_ms, 2 * self.probe_ms, 60_000);
+        faults.unless(least, "fleet.suspect_least_ms", "must be at least twice probe_ms, at most 60000");
+        let most = within(self.suspect_most_ms, self.suspect_least_ms, 600_000);
+        faults.unless(
+            most,
+            "fleet.suspect_most_ms",
+            "must not be less than suspect_least_ms, at most 600000",
+        );
+        faults.unless(within(self.retry_ms, 200, 60_000), "fleet.retry_ms", "must lie between 200 and 60000");
+    }
+}
+
+fn probe_ms() -> u64 {
+    500
+}
+fn answer_ms() -> u64 {
+    150
+}
+fn tell_ms() -> u64 {
+    200
+}
+fn suspect_least_ms() -> u64 {
+    1_500
+}
+fn suspect_most_ms() -> u64 {
+    4_500
+}
+fn retry_ms() -> u64 {
+    1_000
 }
 
 /// Where the load is recorded, and how much of it is kept.
@@ -72,6 +160,9 @@
             let some = d.listen.is_some() || d.follow.is_some();
             faults.unless(some, "dns", "neither listen nor follow is given");
         }
+        if let Some(f) = &self.fleet {
+            f.check(faults);
+        }
         if let Some(r) = &self.record {
             faults.unless(!r.dir.as_os_str().is_empty(), "record.dir", "is empty");
             faults.unless((1..=4_096).contains(&r.file_mb), "record.file_mb", "must lie between 1 and 4096");
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -27,6 +27,8 @@
     Filings(Vec<Filing>),
     /// The old one can't hand over now.
     No,
+    /// The old one is not heard by other routers any more; its start's number and incarnation among them.
+    Fleet(u64, u32),
 }
 
 /// What is no message; nothing further on that connection can be read.
@@ -53,6 +55,7 @@
             Message::Yours => frame(4, &()),
             Message::Filings(filings) => frame(5, filings),
             Message::No => frame(6, &()),
+            Message::Fleet(start, incarnation) => frame(7, &(start, incarnation)),
         }
     }
 
@@ -65,6 +68,10 @@
             4 => Ok(Message::Yours),
             5 => Ok(Message::Filings(if known { parsed(body)? } else { Vec::new() })),
             6 => Ok(Message::No),
+            7 => {
+                let (start, incarnation) = if known { parsed(body)? } else { (0, 0) };
+                Ok(Message::Fleet(start, incarnation))
+            }
             _ => Err(Unreadable),
         }
     }
--- a/crates/wire/src/operations.rs
+++ b/crates/wire/src/operations.rs
@@ -16,6 +16,8 @@
     Status,
     /// The figures.
     Metrics,
+    /// What is known of other routers.
+    Fleet,
     /// Empty the router.
     Standby,
     /// Back to work.
@@ -120,11 +122,12 @@
     let call = match path.split('?').next().unwrap_or(path) {
         "/status" => Call::Status,
         "/status/metrics" => Call::Metrics,
+        "/status/fleet" => Call::Fleet,
         "/standby" => Call::Standby,
         "/active" => Call::Active,
         _ => return Err(wrong(404)),
     };
-    let reads = matches!(call, Call::Status | Call::Metrics);
+    let reads = matches!(call, Call::Status | Call::Metrics | Call::Fleet);
     match method {
         "GET" | "HEAD" if reads => Ok(Asked { call, head_only: method == "HEAD" }),
         "PUT" if !reads => Ok(Asked { call, head_only: false }),
@@ -134,6 +137,15 @@
 
 /// The bytes of an answer; the connection ends after it.
 pub fn answer(status: u16, allow: Option<&str>, body: &str, head_only: bool) -> Vec<u8> {
+    typed(status, allow, "text/plain; charset=utf-8", body, head_only)
+}
+
+/// A yes whose body is JSON.
+pub fn answer_json(body: &str, head_only: bool) -> Vec<u8> {
+    typed(200, None, "application/json", body, head_only)
+}
+
+fn typed(status: u16, allow: Option<&str>, kind: &str, body: &str, head_only: bool) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -147,7 +159,7 @@
         505 => "HTTP Version Not Supported",
         _ => "Error",
     };
-    let mut text = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\n");
+    let mut text = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\n");
     if let Some(allow) = allow {
         // A String takes whatever is written to it.
         let _written = write!(text, "Allow: {allow}\r\n");
