--- a/crates/hollymux/tests/line.rs
+++ b/crates/hollymux/tests/line.rs
@@ -14,6 +14,7 @@
 #[test]
 fn every_fault_of_an_operators_file_is_told_with_its_place() {
     let text = "{\n  dns: {\n    zone: 'a..b',\n    lisen: '127.0.0.1:5300',\n    follow: 'nowhere',\n  },\n  dsn: 1,\n}";
+    let fleet = "{fleet: {name: '', listen: '0.0.0.0:7946', seeds: ['10.0.0.1:0'], answer_ms: 500, suspect_least_ms: 900}}";
     let path = file("operator.json5", text);
     let (code, out, err) = run(&["check", path.to_str().unwrap()]);
     let err = err.replace(path.to_str().unwrap(), "FILE");
@@ -22,7 +23,16 @@
     hollymux: FILE:3:11: dns.zone: is no domain name
     hollymux: FILE:4:12: dns.lisen: unknown field `lisen`, expected one of `zone`, `listen`, `follow`
     hollymux: FILE:5:13: dns.follow: invalid socket address syntax
-    hollymux: FILE:7:8: dsn: unknown field `dsn`, expected `dns` or `record`
+    hollymux: FILE:7:8: dsn: unknown field `dsn`, expected one of `dns`, `record`, `fleet`
+    ");
+    let path = file("operator.json5", fleet);
+    let err = run(&["check", path.to_str().unwrap()]).2.replace(path.to_str().unwrap(), "FILE");
+    insta::assert_snapshot!(err, @r"
+    hollymux: FILE:1:16: fleet.name: must have 1 to 64 bytes
+    hollymux: FILE:1:28: fleet.listen: is no address that others can send to; give one in advertise
+    hollymux: FILE:1:52: fleet.seeds[0]: is no address to send to
+    hollymux: FILE:1:78: fleet.answer_ms: must be at least 10 and less than probe_ms
+    hollymux: FILE:1:101: fleet.suspect_least_ms: must be at least twice probe_ms, at most 60000
     ");
 }
 
