--- a/crates/fleet/src/view/message.rs
+++ b/crates/fleet/src/view/message.rs
@@ -123,3 +123,70 @@
     }
     Ok((head, news))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::record::{Phase, Rank};
+    use super::*;
+    use proptest::prelude::*;
+
+    fn record(start: u64, name: &str) -> Record {
+        let (rank, phase) = (Rank::Suspect, Phase::Ready);
+        Record { start, incarnation: 3, rank, phase, name: name.into(), zone: "cairo".into() }
+    }
+
+    fn head(body: Body) -> Head {
+        let from = SocketAddr::from(([10, 0, 0, 1], 7_946));
+        Head { fleet: fleet_hash("f"), from, record: record(7, "n1"), digest: 9, body }
+    }
+
+    /// Bytes with the version before them and the checksum behind, as only a router writes them.
+    fn sealed(text: &[u8]) -> Vec<u8> {
+        let mut bytes = vec![VERSION];
+        bytes.extend_from_slice(text);
+        let sum = check(&bytes);
+        bytes.extend(sum);
+        bytes
+    }
+
+    /// Guards against a datagram that is longer than a packet, and against news that is cut with it.
+    #[test]
+    fn as_much_news_as_fits_is_written_and_read_again() {
+        let of = |i: u8| SocketAddr::from(([10, 0, 0, i], 7_946));
+        let news: Vec<News> = (0..200)
+            .map(|i| News { of: of(i), record: record(u64::from(i) << 40, "a-router"), by: 5 })
+            .collect();
+        let (bytes, count) = write(&head(Body::Ping(u64::MAX)), news.iter());
+        assert!(bytes.len() <= DATAGRAM_MOST && count > 20, "{count} in {} bytes", bytes.len());
+        let (read_head, read_news) = read(&bytes, fleet_hash("f")).unwrap();
+        assert_eq!((read_head, &read_news[..]), (head(Body::Ping(u64::MAX)), &news[..count]));
+        assert_eq!(read(&bytes, fleet_hash("g")).unwrap_err(), Unread::Foreign);
+        assert_eq!(read(&bytes[1..], fleet_hash("f")).unwrap_err(), Unread::Form);
+        assert_eq!(read(&bytes[..bytes.len() - 1], fleet_hash("f")).unwrap_err(), Unread::Damaged);
+        let long = News { of: of(1), record: record(1, &"n".repeat(33)), by: 0 };
+        let (bytes, _) = write(&head(Body::Tell), [long].iter());
+        assert_eq!(read(&bytes, fleet_hash("f")).unwrap_err(), Unread::Fields);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 3_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// The reader's fuzz target: any bytes, and any change to what a router wrote, under a checksum that fits.
+        #[test]
+        fn no_bytes_panic_the_reader_or_get_past_its_bounds(
+            any in proptest::collection::vec(any::<u8>(), 0..1_500),
+            at in 0usize..120, bit in 0u32..8, cut in 0usize..120,
+        ) {
+            let (real, _) = write(&head(Body::Ask(1, SocketAddr::from(([10, 0, 0, 9], 1)))), std::iter::empty());
+            let mut text = real[1..real.len() - CHECK].to_vec();
+            let at = at % text.len();
+            text[at] ^= 1 << bit;
+            for bytes in [any.clone(), sealed(&any), sealed(&text), sealed(&text[..cut.min(text.len())])] {
+                if let Ok((head, news)) = read(&bytes, fleet_hash("f")) {
+                    prop_assert!(head.record.usable() && news.iter().all(|n| n.record.usable()));
+                    prop_assert!(bytes.len() <= DATAGRAM_MOST);
+                }
+            }
+        }
+    }
+}
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -381,6 +381,24 @@
         self.deaf
     }
 
+    /// About the memory that all this takes, in bytes: its tables by their entries, and what waits to be sent.
+    pub fn memory(&self) -> usize {
+        let text = |r: &Record| r.name.capacity() + r.zone.capacity();
+        let members: usize = self.members.values().map(|m| text(&m.record)).sum();
+        let entry = std::mem::size_of::<SocketAddr>();
+        // A B-tree's nodes are two thirds full on average.
+        let tables =
+            self.members.len() * (entry + std::mem::size_of::<Member>()) + self.news.len() * (entry + 4);
+        let waits: usize = self.out.iter().map(|(_, bytes)| bytes.capacity()).sum();
+        let changes = self.changes.capacity() * std::mem::size_of::<Change>();
+        std::mem::size_of::<View>()
+            + members
+            + tables * 3 / 2
+            + self.turn.capacity() * entry
+            + waits
+            + changes
+    }
+
     /// Lifeguard's local health; 0 is well.
     pub fn health(&self) -> u32 {
         self.health
--- a/crates/hollymux/src/lab.rs
+++ b/crates/hollymux/src/lab.rs
@@ -5,7 +5,7 @@
 use hollymux_lab::platform::Seat;
 use hollymux_lab::report::report;
 use hollymux_lab::virtually::Heard;
-use hollymux_lab::{sockets, virtually};
+use hollymux_lab::{measure, sockets, virtually};
 use hollymux_record::{End, Head, Reason, Recorder, Request, Sink};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -20,6 +20,41 @@
     Run(Run),
     /// Print the JSON Schema of days
     Schema,
+    /// Measure the view that routers keep of their fleet, in virtual time
+    Fleet(FleetTable),
+}
+
+#[derive(clap::Args)]
+pub struct FleetTable {
+    /// Sizes of fleets
+    #[arg(long, value_name = "N", value_delimiter = ',', default_values_t = [5, 30, 100])]
+    routers: Vec<usize>,
+    /// Loss on every link, as parts of 1
+    #[arg(long, value_name = "P", value_delimiter = ',', default_values_t = [0.0, 0.01, 0.05, 0.2])]
+    loss: Vec<f64>,
+    /// Calm time in which nobody may be lost, in minutes
+    #[arg(long, value_name = "M", default_value_t = 10.0)]
+    minutes: f64,
+    /// For random numbers
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    seed: u64,
+    /// Print the rows as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+fn fleet_table(options: &FleetTable) -> Result<(), Fail> {
+    let sizes = options.routers.iter().all(|n| (2..=2_000).contains(n));
+    let parts =
+        options.loss.iter().all(|l| (0.0..1.0).contains(l)) && (0.0..=600.0).contains(&options.minutes);
+    if !sizes || !parts {
+        return Err(Fail::unusable(
+            "2 to 2000 routers, a loss of 0 to 1 and 0 to 600 minutes can be measured",
+        ));
+    }
+    let rows = measure::table(&options.routers, &options.loss, options.seed, options.minutes);
+    let json = || serde_json::to_string_pretty(&rows).unwrap_or_default() + "\n";
+    put(&if options.json { json() } else { measure::text(&rows) })
 }
 
 #[derive(clap::Args)]
@@ -47,6 +82,7 @@
 pub fn run(command: Command) -> Result<(), Fail> {
     let options = match command {
         Command::Schema => return put(&(hollymux_settings::schema::<Day>() + "\n")),
+        Command::Fleet(options) => return fleet_table(&options),
         Command::Run(options) => options,
     };
     let day: Day = hollymux_settings::load(&options.day).map_err(Fail::Unusable)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod day;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod pipe;
 pub mod platform;
 pub mod relay;
