--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -45,6 +45,9 @@
     /// The classes of requests. Default: videos, pages and filings as at the association.
     #[serde(default = "classes")]
     pub classes: Vec<Class>,
+    /// Routers know each other. Default: they do not.
+    #[serde(default)]
+    pub fleet: bool,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -244,6 +247,46 @@
         /// How many times.
         times: f64,
     },
+    /// Routers are cut off from all other routers, both ways; clients and servers reach them as before.
+    Part {
+        /// Their numbers among all routers, office by office, from 1.
+        routers: Vec<usize>,
+    },
+    /// What goes from some routers to others is cut, lost, doubled, damaged or late.
+    Link {
+        /// Numbers of the senders, from 1.
+        from: Vec<usize>,
+        /// Numbers of the receivers.
+        to: Vec<usize>,
+        /// Nothing gets through. Default: false.
+        #[serde(default)]
+        cut: bool,
+        /// The part that is lost. Default: 0.
+        #[serde(default)]
+        loss: f64,
+        /// The part that comes twice. Default: 0.
+        #[serde(default)]
+        twice: f64,
+        /// The part that comes with a bit flipped. Default: 0.
+        #[serde(default)]
+        flipped: f64,
+        /// How much later each comes. Default: 0.
+        #[serde(default)]
+        late_ms: f64,
+        /// Up to so much more, which has them overtake each other. Default: 0.
+        #[serde(default)]
+        jitter_ms: f64,
+    },
+    /// Routers are killed, and started anew at the end.
+    Kill {
+        /// Their numbers, from 1.
+        routers: Vec<usize>,
+    },
+    /// Routers stand still, and go on at the end.
+    Pause {
+        /// Their numbers, from 1.
+        routers: Vec<usize>,
+    },
 }
 
 fn catalogue() -> u64 {
@@ -448,12 +491,27 @@
                     faults.unless(fits, at("part"), "a part of 0 to 1, of 1 to 50 times the size");
                 }
                 What::Surge { times } => faults.unless(positive(*times), at("times"), "must be above 0"),
+                What::Part { routers } | What::Kill { routers } | What::Pause { routers } => {
+                    faults.unless(self.are_routers(routers), at("routers"), "are no routers of this day");
+                }
+                What::Link { from, to, loss, twice, flipped, late_ms, jitter_ms, .. } => {
+                    let known = self.are_routers(from) && self.are_routers(to);
+                    faults.unless(known, at("from"), "from and to are no routers of this day");
+                    let parts = [*loss, *twice, *flipped].into_iter().all(share);
+                    faults.unless(parts, at("loss"), "loss, twice and flipped are parts of 0 to 1");
+                    let late = [*late_ms, *jitter_ms].iter().all(|v| (0.0..=60_000.0).contains(v));
+                    faults.unless(late, at("late_ms"), "late_ms and jitter_ms lie between 0 and 60000");
+                }
             }
         }
     }
 }
 
 impl Day {
+    fn are_routers(&self, numbers: &[usize]) -> bool {
+        !numbers.is_empty() && numbers.iter().all(|n| (1..=self.routers()).contains(n))
+    }
+
     fn server(&self, name: &str) -> bool {
         name == "library" || self.hubs.iter().any(|h| h.name == name)
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -45,6 +45,7 @@
     /// What people call it, and its fleet, if not what the place gives.
     name: Option<String>,
     fleet: Option<String>,
+    zone: Option<String>,
 }
 
 /// Routers and the links between them.
@@ -75,7 +76,7 @@
 }
 
 /// The router at an address.
-fn place_at(addr: SocketAddr) -> Option<usize> {
+pub fn place_at(addr: SocketAddr) -> Option<usize> {
     match addr.ip() {
         std::net::IpAddr::V4(ip) => Some(usize::from(ip.octets()[2]) << 8 | usize::from(ip.octets()[3])),
         std::net::IpAddr::V6(_) => None,
@@ -93,6 +94,7 @@
             clock: 0,
             name: None,
             fleet: None,
+            zone: None,
         };
         Fleet {
             now: BEGIN,
@@ -127,13 +129,18 @@
         (place.name, place.fleet) = (Some(name.to_string()), Some(fleet.to_string()));
     }
 
+    /// The router of a place belongs to this office.
+    pub fn place(&mut self, router: usize, office: &str) {
+        self.places[router].zone = Some(office.to_string());
+    }
+
     /// Starts a router, or starts it anew.
     pub fn start(&mut self, router: usize) {
         let unix = 1_760_000_000 * SEC as i64 + self.now as i64 + self.places[router].clock;
         let setup = Setup {
             fleet: self.places[router].fleet.clone().unwrap_or_else(|| "lab".into()),
             name: self.places[router].name.clone().unwrap_or_else(|| format!("n{}", router + 1)),
-            zone: format!("z{}", router % 4),
+            zone: self.places[router].zone.clone().unwrap_or_else(|| format!("z{}", router % 4)),
             addr: addr(router),
             seeds: self.seeds.clone(),
             start: unix.max(1) as u64,
@@ -223,6 +230,11 @@
         self.at(self.now, Event::Arrive(router, bytes));
     }
 
+    /// When something happens next.
+    pub fn due(&self) -> Option<Time> {
+        self.events.peek().map(|Reverse((at, ..))| *at)
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, long: Time) {
         let until = self.now + long;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::day::Day;
 use crate::load::{Done, Got};
+use crate::together::FleetReport;
 use crate::world::{Broken, World};
 use hdrhistogram::Histogram;
 use hollymux_decide::{Time, SEC};
@@ -17,6 +18,8 @@
     pub attempts: u64,
     /// Final answers beside the one that is owed, or none at all before the client gave up and half a second more.
     pub answers_wrong: u64,
+    /// What the fleet's view came to, where routers know each other.
+    pub fleet: Option<FleetReport>,
 }
 
 /// Figures of one class.
@@ -73,6 +76,8 @@
     pub broken: BTreeMap<String, u64>,
     /// Cold servers that fell over before routers were told of their start.
     pub fell_untold: u64,
+    /// What the fleet's view came to; none where routers don't know each other.
+    pub fleet: Option<FleetReport>,
     /// Worth served and asked for in each second of the day.
     pub seconds: Vec<(f64, f64)>,
 }
@@ -138,6 +143,7 @@
         turned_away: world.turned_away(),
         broken,
         fell_untold: world.fell_untold,
+        fleet: counted.fleet,
         seconds,
     }
 }
@@ -205,6 +211,15 @@
         let broken: Vec<String> = self.broken.iter().map(|(r, n)| format!("{r} {n}")).collect();
         let none = if broken.is_empty() { "none".to_string() } else { broken.join(", ") };
         let _fits = writeln!(t, "rules broken: {none}");
+        if let Some(f) = &self.fleet {
+            let settled =
+                f.settled_s.map_or("did not settle".to_string(), |s| format!("settled after {s:.1} s"));
+            let _fits = writeln!(
+                t,
+                "fleet's view: {settled}; {} falsely called lost, {} lost and not called so; {:.0} bytes a router a second",
+                f.false_lost, f.missed_lost, f.bytes_per_router_s
+            );
+        }
         if self.fell_untold > 0 {
             let _fits =
                 writeln!(t, "cold servers that fell before their start was told: {}", self.fell_untold);
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -1,19 +1,22 @@
 //! A day in virtual time: the same servers and clients, round the routers' sans-I/O cores, without sockets. The
 //! same seed gives the same day, to the byte.
 
-use crate::day::Day;
+use crate::day::{Day, What};
+use crate::fleet::{place_at, Fleet, BEGIN};
 use crate::load::{Ask, Clients, Done, Got};
 use crate::platform::{config, line, seats, Seat};
 use crate::report::Counted;
+use crate::together::{judge, links, places, quiet_from, Watch};
 use crate::world::{secs, Call, News, Stand, Word, World, PURGE_TOLD};
 use hollymux_core::chain::Pool;
 use hollymux_core::{
     AttemptId, Client, Command, Ended, Input, Lost, Member, Order, Reply, Router, Said, Told, Wake,
 };
 use hollymux_decide::{HostId, Time, MS, SEC};
+use hollymux_fleet::view::{Change, Rank};
 use hollymux_node::config::Config;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// A message takes this long from one party to another.
@@ -46,6 +49,8 @@
     Probe(usize, HostId, Option<bool>),
     /// News of members, from the control feed; the text is that of the sockets.
     Told(usize, String),
+    /// A fault between or in routers begins or ends.
+    Fault(usize, bool),
 }
 
 struct Timed(Time, u64, Event);
@@ -89,12 +94,27 @@
     calls: BTreeMap<u64, Out>,
     by_attempt: HashMap<(usize, AttemptId), u64>,
     next_call: u64,
-    open: HashMap<u64, usize>,
+    /// Clients' requests out: the router, and the try that is meant, by its id on the wire.
+    open: HashMap<u64, (usize, u64)>,
     told: u64,
+    /// The routers' views of each other, and how each router's process stands.
+    fleet: Option<Fleet>,
+    stands: Vec<Process>,
+    gave_up: BTreeSet<u64>,
+    watch: Watch,
     counted: Counted,
     ended: &'a mut dyn FnMut(Seat, &Heard<'_>),
 }
 
+/// How a router's process stands.
+#[derive(Debug)]
+enum Process {
+    Runs,
+    Dead,
+    /// What came meanwhile waits.
+    Stopped(VecDeque<Input>),
+}
+
 /// What a recording of a router holds: what it closed, and what it was told.
 pub enum Heard<'a> {
     /// A request was closed.
@@ -157,13 +177,19 @@
         next_call: 1,
         open: HashMap::new(),
         told: 1,
+        fleet: day.fleet.then(|| Fleet::new(day.routers(), seed)),
+        stands: (0..day.routers()).map(|_| Process::Runs).collect(),
+        gave_up: BTreeSet::new(),
+        watch: Watch::default(),
         counted: Counted::default(),
         ended,
     };
+    lab.begin_fleet();
     for (router, told) in known.into_iter().enumerate() {
         told.into_iter().for_each(|t| lab.tell(router, t));
     }
     lab.run();
+    lab.counted.fleet = lab.fleet.as_ref().map(|_| judge(day, &lab.watch));
     Ok(Played { start: START, done: lab.clients.done, world: lab.world, counted: lab.counted })
 }
 
@@ -179,7 +205,8 @@
         let mut counting = false;
         loop {
             let own = self.events.peek().map(|Reverse(t)| t.0);
-            let next = [own, self.world.due(), self.clients.due()].into_iter().flatten().min();
+            let fleet = self.fleet.as_ref().and_then(Fleet::due).map(|t| t - BEGIN + START);
+            let next = [own, self.world.due(), self.clients.due(), fleet].into_iter().flatten().min();
             let Some(next) = next.filter(|_| self.now < end || self.clients.waiting()) else { break };
             if !counting && next >= counts {
                 counting = true;
@@ -193,6 +220,7 @@
             self.now = next;
             self.world.advance(next);
             self.clients.advance(next);
+            self.advance_fleet();
             while self.events.peek().is_some_and(|Reverse(t)| t.0 <= next) {
                 if let Some(Reverse(Timed(_, _, event))) = self.events.pop() {
                     self.on_event(event);
@@ -213,8 +241,11 @@
             news.into_iter().for_each(|n| self.on_news(n));
             asks.into_iter().for_each(|a| self.on_ask(&a));
             for id in undone {
-                if let Some(router) = self.open.remove(&id) {
-                    self.feed(router, Input::Undo(Client { conn: 1, tag: id }));
+                if let Some((router, rid)) = self.open.remove(&id) {
+                    if matches!(self.stands[router], Process::Stopped(_)) {
+                        self.gave_up.insert(rid);
+                    }
+                    self.feed(router, Input::Undo(Client { conn: rid, tag: id }));
                 }
             }
         }
@@ -233,8 +264,8 @@
             held: None,
             body: self.pool.chain(),
         };
-        self.open.insert(ask.id, router);
-        self.feed(router, Input::Ask(Client { conn: 1, tag: ask.id }, asked));
+        self.open.insert(ask.id, (router, ask.rid));
+        self.feed(router, Input::Ask(Client { conn: ask.rid, tag: ask.id }, asked));
     }
 
     fn tell(&mut self, router: usize, told: Told) {
@@ -247,8 +278,127 @@
         self.feed(router, Input::Told(told));
     }
 
+    // ---- routers among themselves ----
+
+    fn begin_fleet(&mut self) {
+        for seat in self.seats.iter().filter(|_| self.day.fleet) {
+            if let Some(fleet) = &mut self.fleet {
+                fleet.place(seat.number, &self.day.offices[seat.office].name);
+                fleet.start(seat.number);
+            }
+        }
+        for (i, f) in self.day.faults.clone().iter().enumerate() {
+            self.at(START + secs(f.at_s), Event::Fault(i, true));
+            if let Some(long) = f.for_s {
+                self.at(START + secs(f.at_s + long), Event::Fault(i, false));
+            }
+        }
+    }
+
+    /// Lets the views come up to now, and tells the cores how many may be at work.
+    fn advance_fleet(&mut self) {
+        let Some(mut fleet) = self.fleet.take() else { return };
+        let now_s = (self.now - START) as f64 / 1e6;
+        fleet.run((self.now - START + BEGIN).saturating_sub(fleet.now));
+        for (_, by, change) in std::mem::take(&mut fleet.told) {
+            if let Change::Router(of, _, r) = &change {
+                if r.rank == Rank::Lost {
+                    self.watch.lost.extend(place_at(*of).map(|of| (now_s, by, of)));
+                }
+            }
+            let settings = &self.configs[by].settings;
+            let here = settings.dispatchers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(0);
+            if let (Some(view), Process::Runs) = (fleet.view(by), &self.stands[by]) {
+                let zone = view.own().1.zone.clone();
+                let all = view.sharing(None, settings.dispatchers, settings.dispatchers);
+                self.routers[by].count_routers(all, view.sharing(Some(&zone), here, settings.dispatchers));
+            }
+        }
+        if self.watch.agreed.is_none() && now_s > quiet_from(&self.day) && fleet.same(&fleet.up()) {
+            self.watch.agreed = Some(now_s);
+        }
+        self.watch.bytes = fleet.sent.1;
+        self.fleet = Some(fleet);
+    }
+
+    fn on_fault(&mut self, i: usize, begins: bool) {
+        let what = self.day.faults[i].what.clone();
+        for (from, to, link) in links(&self.day, &what) {
+            if let Some(fleet) = &mut self.fleet {
+                fleet.fault(&from, &to, if begins { link } else { Default::default() });
+            }
+        }
+        match (&what, begins) {
+            (What::Kill { routers }, true) => places(routers).into_iter().for_each(|r| self.kill(r)),
+            (What::Kill { routers }, false) => places(routers).into_iter().for_each(|r| self.start(r)),
+            (What::Pause { routers }, true) => places(routers).into_iter().for_each(|r| {
+                self.stands[r] = Process::Stopped(VecDeque::new());
+                self.fleet.iter_mut().for_each(|f| f.pause(r));
+            }),
+            (What::Pause { routers }, false) => places(routers).into_iter().for_each(|r| {
+                let stood = std::mem::replace(&mut self.stands[r], Process::Runs);
+                self.fleet.iter_mut().for_each(|f| f.resume(r));
+                if let Process::Stopped(waits) = stood {
+                    waits.into_iter().for_each(|input| self.feed(r, input));
+                }
+            }),
+            _ => {}
+        }
+    }
+
+    /// A router's process ends: what was open there is lost, and its attempts are given up.
+    fn kill(&mut self, router: usize) {
+        self.stands[router] = Process::Dead;
+        self.fleet.iter_mut().for_each(|f| f.kill(router));
+        let asked: Vec<u64> = self.open.iter().filter(|(_, o)| o.0 == router).map(|(id, _)| *id).collect();
+        for id in asked {
+            self.open.remove(&id);
+            self.clients.answered(self.now, id, Got::Lost);
+        }
+        let out: Vec<u64> =
+            self.calls.iter().filter(|(_, o)| o.router == router).map(|(id, _)| *id).collect();
+        for id in out {
+            self.calls.remove(&id);
+            self.world.quit(self.now, id);
+        }
+        self.by_attempt.retain(|(r, _), _| *r != router);
+        // What was on its way to that process means nothing to the next one.
+        self.events.retain(|Reverse(Timed(_, _, event))| match event {
+            Event::Core(r, _) | Event::Arrive(r, _) | Event::Lost(r, ..) | Event::Probe(r, ..) => {
+                *r != router
+            }
+            Event::Said(..) | Event::Told(..) | Event::Fault(..) => true,
+        });
+    }
+
+    /// It starts anew, knowing nothing but its configuration of now.
+    fn start(&mut self, router: usize) {
+        let endpoints: Vec<SocketAddr> = (0..self.world.servers.len()).map(endpoint).collect();
+        let seat = self.seats[router];
+        let text = config(&self.day, &self.world, seat, self.now, endpoint(0), &endpoints).to_string();
+        // What could be read at the start of the day can be read now.
+        let Ok(mut config) = Config::read(&text) else { return };
+        let known = std::mem::take(&mut config.known.1);
+        let Ok(core) = Router::new(config.setup(), false) else { return };
+        (self.routers[router], self.configs[router]) = (core, config);
+        self.stands[router] = Process::Runs;
+        self.fleet.iter_mut().for_each(|f| f.start(router));
+        known.into_iter().for_each(|t| self.tell(router, t));
+    }
+
     /// Hands a router one input and carries out what it wants, as the driver on sockets does.
     fn feed(&mut self, router: usize, input: Input) {
+        match &mut self.stands[router] {
+            Process::Runs => {}
+            Process::Stopped(waits) => return waits.push_back(input),
+            Process::Dead => {
+                if let Input::Ask(client, _) = input {
+                    self.open.remove(&client.tag);
+                    self.clients.answered(self.now, client.tag, Got::Lost);
+                }
+                return;
+            }
+        }
         let mut inbox = VecDeque::from([input]);
         let mut commands = Vec::new();
         while let Some(input) = inbox.pop_front() {
@@ -269,7 +419,12 @@
                 }
             }
             Command::Reply(client, reply) => {
-                if self.open.remove(&client.tag).is_none() {
+                // Who gave up while the router stood still is still answered: it has not read that yet.
+                if self.gave_up.remove(&client.conn) {
+                    return;
+                }
+                let meant = self.open.get(&client.tag).is_some_and(|o| o.1 == client.conn);
+                if !meant || self.open.remove(&client.tag).is_none() {
                     self.counted.answers_wrong += 1;
                     return;
                 }
@@ -319,6 +474,7 @@
                 let said = self.said(word, bytes, out.write);
                 self.feed(out.router, Input::Said(out.attempt, said));
             }
+            Event::Fault(i, begins) => self.on_fault(i, begins),
             Event::Lost(router, attempt, lost) => self.feed(router, Input::Lost(attempt, lost)),
             Event::Probe(router, host, well) => self.feed(router, Input::Probed(host, well)),
             Event::Told(router, text) => {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1031,6 +1031,8 @@
             What::Slow { who, .. } => who.clone(),
             // Load and news are not the servers' matter.
             What::Late { .. } | What::Crowd { .. } | What::Large { .. } | What::Surge { .. } => return,
+            // Nor are routers.
+            What::Part { .. } | What::Link { .. } | What::Kill { .. } | What::Pause { .. } => return,
         };
         let Some(s) = self.server(&who) else { return };
         match (fault, begins) {
