--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -1,10 +1,12 @@
 //! A day on real sockets: stand-in servers and control feeds on loopback, real router processes, clients whose
 //! arrivals wait for nothing. One thread plays all of it and ends it by itself.
 
-use crate::day::Day;
+use crate::day::{Day, What};
 use crate::load::{Ask, Clients, Got};
 use crate::platform::{config, line, seats};
+use crate::relay::Relay;
 use crate::report::Counted;
+use crate::together::{judge, links, places, quiet_from, Watch};
 use crate::virtually::{age, Played};
 use crate::world::{secs, Call, News, Stand, Word, World, PURGE_TOLD};
 use hollymux_core::chain::Pool;
@@ -18,6 +20,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A router says where it listens within this, or the day can't be played.
@@ -48,6 +51,11 @@
 struct Node {
     child: Child,
     addr: SocketAddr,
+    /// Where operators are answered, and other routers heard, if they are.
+    door: Option<SocketAddr>,
+    heard: Option<SocketAddr>,
+    /// It was killed by a fault.
+    dead: bool,
     conns: Vec<usize>,
     ticks: u64,
 }
@@ -102,8 +110,22 @@
     sent_events: usize,
     commented: Time,
     counted: Counted,
+    start: Start,
+    seed: u64,
+    /// Where each router's control feed is.
+    feeds_at: Vec<SocketAddr>,
+    /// Where routers know each other: what is between them, and what their logs say of who is lost.
+    relay: Option<Relay>,
+    said: Said,
+    watch: Watch,
+    looked: Time,
+    /// Faults between and in routers that are still to begin or end.
+    faults: BinaryHeap<Reverse<(Time, usize, bool)>>,
 }
 
+/// What routers' logs say: when, who, and the line.
+type Said = Arc<Mutex<Vec<(Instant, usize, String)>>>;
+
 /// Plays a day, with the world's seed. Ends within the day's length and twenty seconds.
 ///
 /// # Errors
@@ -133,6 +155,14 @@
         sent_events: 0,
         commented: 0,
         counted: Counted::default(),
+        start: start.clone(),
+        seed,
+        feeds_at: Vec::new(),
+        relay: if day.fleet { Some(Relay::start(day.routers(), seed)?) } else { None },
+        said: Said::default(),
+        watch: Watch::default(),
+        looked: 0,
+        faults: BinaryHeap::new(),
     };
     for server in 0..lab.world.servers.len() {
         let listener = TcpListener::bind(loopback())?;
@@ -143,15 +173,26 @@
         let listener = TcpListener::bind(loopback())?;
         let feed = listener.local_addr()?;
         lab.put(Role::Feeds(listener, seat.number), None)?;
-        let text = config(day, &lab.world, seat, seed, feed, &lab.endpoints).to_string();
-        lab.nodes.push(spawn(start, seat.number, &text)?);
+        lab.feeds_at.push(feed);
+        let node = lab.spawn(seat.number)?;
+        lab.nodes.push(node);
     }
     // The day starts once the routers run.
     lab.unix = lab.clock();
     lab.begun = Instant::now();
     lab.world = World::new(day, lab.unix, seed);
     lab.clients = Clients::new(day, lab.unix, seed);
+    for (i, f) in day.faults.iter().enumerate() {
+        lab.faults.push(Reverse((lab.unix + secs(f.at_s), i, true)));
+        if let Some(long) = f.for_s {
+            lab.faults.push(Reverse((lab.unix + secs(f.at_s + long), i, false)));
+        }
+    }
     lab.run()?;
+    lab.counted.fleet = lab.relay.is_some().then(|| {
+        lab.hear();
+        judge(day, &lab.watch)
+    });
     let start = lab.unix;
     finish(std::mem::take(&mut lab.nodes));
     Ok(Played { start, done: lab.clients.done, world: lab.world, counted: lab.counted })
@@ -161,39 +202,68 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn spawn(start: &Start, number: usize, config: &str) -> io::Result<Node> {
+/// An operator's call for a router's view; none if it does not answer in time.
+fn view(door: SocketAddr) -> Option<serde_json::Value> {
+    let wait = Duration::from_millis(200);
+    let mut socket = std::net::TcpStream::connect_timeout(&door, wait).ok()?;
+    socket.set_read_timeout(Some(wait)).ok()?;
+    socket.write_all(b"GET /status/fleet HTTP/1.1\r\nHost: lab\r\n\r\n").ok()?;
+    let mut text = String::new();
+    socket.read_to_string(&mut text).ok()?;
+    serde_json::from_str(text.split_once("\r\n\r\n")?.1).ok()
+}
+
+fn spawn(
+    start: &Start,
+    number: usize,
+    config: &str,
+    fleet: serde_json::Value,
+    said: Said,
+) -> io::Result<Node> {
     let path = start.dir.join(format!("n{}.json", number + 1));
     std::fs::write(&path, config)?;
     let mut command = Command::new(&start.program);
     command.arg("serve").arg("--config").arg(&path).arg("--with-parent");
     let operator = start.dir.join(format!("n{}.operator.json5", number + 1));
-    std::fs::write(&operator, serde_json::json!({"record": {"dir": start.record}}).to_string())?;
+    let sections = serde_json::json!({"record": {"dir": start.record}, "fleet": fleet});
+    std::fs::write(&operator, sections.to_string())?;
     command.arg("--operator").arg(&operator);
     let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
     let lines = BufReader::new(child.stderr.take().ok_or(ErrorKind::BrokenPipe)?);
-    let (tx, said) = std::sync::mpsc::channel();
-    let log = std::fs::File::create(start.dir.join(format!("n{}.log", number + 1)))?;
+    let (tx, up) = std::sync::mpsc::channel();
+    let log = start.dir.join(format!("n{}.log", number + 1));
+    let log = std::fs::File::options().create(true).append(true).open(log)?;
     std::thread::spawn(move || {
-        let mut log = log;
+        let (mut log, mut at) = (log, [None; 2]);
         for line in lines.lines().map_while(Result::ok) {
             let _kept = writeln!(log, "{line}");
-            if let Some((_, addr)) = line.split_once("listening on ") {
-                let _told = tx.send(addr.trim().parse::<SocketAddr>());
+            let addr = |words: &str| line.split_once(words)?.1.trim().parse::<SocketAddr>().ok();
+            at[0] = at[0].or_else(|| addr("operators are answered on "));
+            at[1] = at[1].or_else(|| addr("other routers are heard on "));
+            if let Some(addr) = addr("listening on ") {
+                let _told = tx.send((addr, at));
+            }
+            if line.contains(" is lost") {
+                let mut said = said.lock().unwrap_or_else(PoisonError::into_inner);
+                said.push((Instant::now(), number, line));
             }
         }
     });
     // The child ends with the node, also if it never comes up.
-    let mut node = Node { child, addr: loopback(), conns: Vec::new(), ticks: 0 };
-    let addr = said.recv_timeout(READY).map_err(|_| io::Error::other("a router did not start"))?;
-    node.addr = addr.map_err(io::Error::other)?;
+    let (door, heard) = (None, None);
+    let mut node = Node { child, addr: loopback(), door, heard, dead: false, conns: Vec::new(), ticks: 0 };
+    let (addr, [door, heard]) =
+        up.recv_timeout(READY).map_err(|_| io::Error::other("a router did not start"))?;
+    (node.addr, node.door, node.heard) = (addr, door, heard);
     Ok(node)
 }
 
 /// Lets routers end by themselves, so that their recordings are whole; who takes too long is ended.
 fn finish(mut nodes: Vec<Node>) {
     for node in &nodes {
-        let pid = i32::try_from(node.child.id()).ok().and_then(rustix::process::Pid::from_raw);
-        pid.map(|p| rustix::process::kill_process(p, rustix::process::Signal::TERM));
+        // One that was stopped for good hears nothing.
+        signal(node, rustix::process::Signal::CONT);
+        signal(node, rustix::process::Signal::TERM);
     }
     let until = Instant::now() + READY;
     while Instant::now() < until && nodes.iter_mut().any(|n| matches!(n.child.try_wait(), Ok(None))) {
@@ -209,7 +279,97 @@
     fields.get(11).copied().unwrap_or(0) + fields.get(12).copied().unwrap_or(0)
 }
 
+/// Sends a process a signal.
+fn signal(node: &Node, signal: rustix::process::Signal) {
+    let pid = i32::try_from(node.child.id()).ok().and_then(rustix::process::Pid::from_raw);
+    // One that has ended needs none.
+    pid.map(|p| rustix::process::kill_process(p, signal));
+}
+
 impl Lab {
+    // ---- routers, and what goes wrong between and in them ----
+
+    /// Starts a router's process as things are now.
+    fn spawn(&self, number: usize) -> io::Result<Node> {
+        let Some(seat) = seats(&self.day).into_iter().nth(number) else {
+            return Err(io::Error::other("no such router"));
+        };
+        let feed = self.feeds_at[number];
+        let mut text = config(&self.day, &self.world, seat, self.seed, feed, &self.endpoints);
+        let mut fleet = serde_json::Value::Null;
+        if let Some(relay) = &self.relay {
+            text["operator"] = "127.0.0.1:0".into();
+            let seeds: Vec<String> = relay.addrs.iter().take(3).map(SocketAddr::to_string).collect();
+            fleet = serde_json::json!({"name": "lab", "listen": "127.0.0.1:0", "seeds": seeds,
+                                       "advertise": relay.addrs[number].to_string()});
+        }
+        let node = spawn(&self.start, number, &text.to_string(), fleet, self.said.clone())?;
+        if let (Some(relay), Some(heard)) = (&self.relay, node.heard) {
+            relay.behind(number, heard);
+        }
+        Ok(node)
+    }
+
+    fn on_faults(&mut self) -> io::Result<()> {
+        while self.faults.peek().is_some_and(|Reverse(f)| f.0 <= self.now) {
+            let Some(Reverse((_, i, begins))) = self.faults.pop() else { break };
+            let what = self.day.faults[i].what.clone();
+            for (from, to, link) in links(&self.day, &what) {
+                let link = if begins { link } else { Default::default() };
+                self.relay.iter().for_each(|r| r.fault(&from, &to, link));
+            }
+            match what {
+                What::Kill { routers } => {
+                    for r in places(&routers) {
+                        if begins {
+                            self.nodes[r].dead = true;
+                            signal(&self.nodes[r], rustix::process::Signal::KILL);
+                        } else {
+                            self.nodes[r] = self.spawn(r)?;
+                        }
+                    }
+                }
+                What::Pause { routers } => {
+                    let sent =
+                        if begins { rustix::process::Signal::STOP } else { rustix::process::Signal::CONT };
+                    places(&routers).into_iter().for_each(|r| signal(&self.nodes[r], sent));
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// After the last fault: whether all that run hold one view by now.
+    fn look(&mut self) {
+        let since = (self.now - self.unix) as f64 / 1e6;
+        let quiet = since > quiet_from(&self.day) && self.watch.agreed.is_none();
+        if self.relay.is_none() || !quiet || self.now < self.looked + 200 * MS {
+            return;
+        }
+        self.looked = self.now;
+        let doors: Vec<SocketAddr> = self.nodes.iter().filter(|n| !n.dead).filter_map(|n| n.door).collect();
+        let views: Vec<Option<serde_json::Value>> = doors.iter().map(|d| view(*d)).collect();
+        let all = |v: &serde_json::Value| v["reachable"].as_u64() >= Some(doors.len() as u64);
+        let whole = views.iter().all(|v| v.as_ref().is_some_and(all));
+        let digest = |v: &Option<serde_json::Value>| v.as_ref().map(|v| v["digest"].clone());
+        if whole && views.windows(2).all(|w| digest(&w[0]) == digest(&w[1])) {
+            self.watch.agreed = Some(since);
+        }
+    }
+
+    /// Takes what the logs said of who is lost, and what routers sent each other.
+    fn hear(&mut self) {
+        let Some(relay) = &self.relay else { return };
+        let said = std::mem::take(&mut *self.said.lock().unwrap_or_else(PoisonError::into_inner));
+        for (at, by, line) in said {
+            let of = relay.addrs.iter().position(|a| line.contains(&format!(" at {a} is lost")));
+            let since = at.saturating_duration_since(self.begun).as_secs_f64();
+            self.watch.lost.extend(of.map(|of| (since, by, of)));
+        }
+        self.watch.bytes = (0..self.day.routers()).map(|r| relay.sent(r).1).sum();
+    }
+
     fn clock(&self) -> Time {
         self.unix + u64::try_from(self.begun.elapsed().as_micros()).unwrap_or(u64::MAX)
     }
@@ -234,6 +394,8 @@
             if self.now >= end && (!self.clients.waiting() || self.now >= end + FINISH) {
                 return Ok(());
             }
+            self.on_faults()?;
+            self.look();
             self.world.advance(self.now);
             self.clients.advance(self.now);
             self.settle()?;
@@ -508,7 +670,10 @@
         let token = match best {
             Some(token) if load(&token) == 0 || !few => token,
             _ => {
-                let stream = TcpStream::connect(self.nodes[router].addr)?;
+                let Ok(stream) = TcpStream::connect(self.nodes[router].addr) else {
+                    self.clients.answered(self.now, ask.id, Got::Lost);
+                    return Ok(());
+                };
                 let role = Role::Client { router, open: BTreeMap::new(), next: 1 };
                 let token = self.put(role, Some(stream))?;
                 self.nodes[router].conns.push(token);
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -95,6 +95,32 @@
     assert!(fell.iter().sum::<u64>() <= 1, "{fell:?}");
 }
 
+fn example(name: &str) -> Day {
+    let path = format!("{}/../../examples/fleet/{name}.json5", env!("CARGO_MANIFEST_DIR"));
+    hollymux_settings::load(std::path::Path::new(&path)).expect("a day")
+}
+
+/// Guards against a view that condemns healthy routers, misses dead ones, or does not settle again under load; and
+/// against decisions that change where all routers are there anyway.
+#[test]
+fn routers_that_know_each_other_settle_and_decide_as_before_while_all_may_be_at_work() {
+    for name in ["partition", "crash", "join"] {
+        let day = example(name);
+        let on = played(&day, 1);
+        let fleet = on.fleet.expect("the day's routers know each other");
+        assert!(fleet.settled_s.is_some_and(|s| s < 5.0), "{name}: {fleet:?}");
+        assert_eq!((fleet.false_lost, fleet.missed_lost), (0, 0), "{name}");
+        assert!(fleet.bytes_per_router_s < 3_000.0, "{name}: {fleet:?}");
+        assert!(on.broken.is_empty() && on.fell_untold == 0, "{name}: {:?}", on.broken);
+        // Nobody is killed on this day: the number that may be at work is the configured one all the time.
+        if name == "partition" {
+            let off = played(&Day { fleet: false, ..day }, 1);
+            assert_eq!(off.fleet, None);
+            assert_eq!(Report { fleet: None, ..on }.json(), off.json());
+        }
+    }
+}
+
 #[test]
 fn more_load_and_fewer_hubs_cost_worth() {
     let calm = played(&day(""), 5).served_worth;
