Let one place say by how many routers limits are divided; compare views in one pass

Read once more: the driver and the laboratory each worked out the same two numbers from view and settings, the laboratory again for each change. View::shared_by says them to both. What two views tell each other was copied twice on its way.

--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -13,7 +13,7 @@
 pub use message::{Unread, DATAGRAM_MOST};
 pub use record::{Phase, Rank, Record, NAME_MOST};
 
-use hollymux_decide::{Time, MS, SEC};
+use hollymux_decide::{Settings, Time, MS, SEC};
 use message::{Head, News};
 use probe::{Probe, Relay, Suspicion};
 use rand_core::{RngCore, SeedableRng};
@@ -424,11 +424,18 @@
 
     /// By how many routers limits are divided, of an office or of all, where so many are configured there: no fewer than
     /// may be at work, and no fewer than configured until the view was once settled with as many as configured in all.
-    pub fn sharing(&self, zone: Option<&str>, configured: u32, in_all: u32) -> u32 {
+    fn sharing(&self, zone: Option<&str>, configured: u32, in_all: u32) -> u32 {
         let floor = if self.complete >= in_all { 1 } else { configured };
         self.at_work(zone).max(floor)
     }
 
+    /// The same under a router's settings: of all, and of its own office.
+    pub fn shared_by(&self, settings: &Settings) -> (u32, u32) {
+        let all = settings.dispatchers;
+        let here = settings.dispatchers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(0);
+        (self.sharing(None, all, all), self.sharing(Some(&self.record.zone), here, all))
+    }
+
     // ---- records ----
 
     /// Takes the time; a process that stood still holds nobody else to blame for the answers it missed.
--- a/crates/fleet/src/view/spread.rs
+++ b/crates/fleet/src/view/spread.rs
@@ -140,19 +140,10 @@
             let part = Digests::part(*of);
             own[part] != theirs[part]
         };
-        let here: Vec<(SocketAddr, Record)> = self
-            .members
-            .iter()
-            .filter(|(of, _)| differs(of))
-            .map(|(of, m)| (*of, m.record.clone()))
-            .collect();
-        let items: Vec<News> = here
-            .into_iter()
-            .map(|(of, record)| {
-                let record = if record.rank == Rank::Suspect { record.ranked(Rank::Alive) } else { record };
-                News { of, record, by: 0 }
-            })
-            .collect();
+        // A suspicion goes on as news, with who has it; here only what it is about.
+        let said = |r: &Record| if r.rank == Rank::Suspect { r.ranked(Rank::Alive) } else { r.clone() };
+        let here = self.members.iter().filter(|(of, _)| differs(of));
+        let items: Vec<News> = here.map(|(of, m)| News { of: *of, record: said(&m.record), by: 0 }).collect();
         let head = self.head(Body::Tell);
         let mut rest = &items[..];
         while !rest.is_empty() {
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -306,12 +306,9 @@
                     self.watch.lost.extend(place_at(*of).map(|of| (now_s, by, of)));
                 }
             }
-            let settings = &self.configs[by].settings;
-            let here = settings.dispatchers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(0);
             if let (Some(view), Process::Runs) = (fleet.view(by), &self.stands[by]) {
-                let zone = view.own().1.zone.clone();
-                let all = view.sharing(None, settings.dispatchers, settings.dispatchers);
-                self.routers[by].count_routers(all, view.sharing(Some(&zone), here, settings.dispatchers));
+                let (all, here) = view.shared_by(&self.configs[by].settings);
+                self.routers[by].count_routers(all, here);
             }
         }
         if self.watch.agreed.is_none() && now_s > quiet_from(&self.day) && fleet.same(&fleet.up()) {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -122,13 +122,7 @@
         while let Some(change) = fleet.view.change() {
             say(&change);
         }
-        let settings = self.router.settings();
-        let here = settings.dispatchers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(0);
-        let zone = fleet.view.own().1.zone.clone();
-        let told = (
-            fleet.view.sharing(None, settings.dispatchers, settings.dispatchers),
-            fleet.view.sharing(Some(&zone), here, settings.dispatchers),
-        );
+        let told = fleet.view.shared_by(self.router.settings());
         if told != fleet.told {
             info!(
                 "{} routers may be at work, {} of them in this office: limits are divided by that",
