Move parts of what cold servers bear between routers, on lease, where it is switched on

Until now every router took an even share of what a cold box or hub bears: with uneven load shares lay unused at one and were refused at another, and a router that nobody had counted yet was one share too many.

crates/fleet/limits: parts that exist once, lots counted out before they are told, leases by the taker's clock from before the giver gave, a broker by rendezvous hash without authority, homes that open when all others have said that they count the router. Absent: the same decisions, no socket, timer or datagram more. Where it is on, the clock is looked at again before a request is written, so that a process that stood still in between sends nothing on a part that has ended.

Checked: whoever may, uses at once all that it may, and the sum over any window is never above the whole, in 1,000 random schedules of starts, ends, pauses, cuts, loss, doubles, words 10 s late and clocks that drift, and in a model of three routers (1.2 million states generated). Twelve mutations were tried (counted in but not out, drift forgotten, no window after a lease, gives what it used, home at once, lease from receipt, passes on for longer than it has, homes grow at once, and others): each fails a test; counting, drift, window and shrunk lots fail the model.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -430,6 +430,21 @@
         self.control.count_routers(all, here);
     }
 
+    /// Parts of cold budgets are agreed with other routers: see [`Control::lease`].
+    pub fn lease(&mut self, homes: (f64, f64), parts: BTreeMap<HostId, Part>) {
+        self.control.lease(homes, parts);
+    }
+
+    /// What members call a host, if it is one.
+    pub fn uid(&self, host: HostId) -> Option<&str> {
+        self.members.get(&host).map(|(uid, _)| &**uid)
+    }
+
+    /// What cold hosts are asked for here.
+    pub fn cold_demands(&self, now: Time) -> Vec<ColdDemand> {
+        self.control.cold_demands(now)
+    }
+
     /// Shares cold budgets with another process that works at this one's place, or no longer.
     pub fn share(&mut self, with_another: bool) {
         self.control.share(u32::from(with_another));
--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -29,9 +29,9 @@
 /// What was asked for within one to two of these spans is kept at the middle rank, else the lowest.
 const SEEN: Time = 20 * SEC;
 /// Of what a cold host is known to bear, all dispatchers together use this part...
-const COLD_PART: f64 = 0.6;
+pub(crate) const COLD_PART: f64 = 0.6;
 /// ...and at most this times its present capacity: beyond it answers are only late.
-const COLD_USE: f64 = 1.2;
+pub(crate) const COLD_USE: f64 = 1.2;
 /// This much evidence in a row, without a sign of life between, takes a host out.
 pub(crate) const STRIKES: f64 = 2.0;
 /// A host that is out gets a trial request after this long, doubled up to eight times as much.
@@ -502,7 +502,7 @@
 
     /// What a host can do by now at the least, in seconds of sending per second, and the multiple at which it
     /// falls over; none if it is warm. One that was seen dead starts anew when it answers.
-    fn cold(&self, now: Time, h: &Host) -> Option<(f64, f64)> {
+    pub(crate) fn cold(&self, now: Time, h: &Host) -> Option<(f64, f64)> {
         let s = &self.settings;
         let (from, over, multiple) = match h.role {
             Role::Parent => (s.parent_cold_from, s.parent_cold_for, s.parent_fall_multiple),
@@ -520,12 +520,12 @@
     fn admits(&self, now: Time, h: &Host, work: f64) -> bool {
         let Some((able, multiple)) = self.cold(now, h) else { return true };
         let window = self.settings.fall_after;
-        let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window) / f64::from(self.sharing(h));
+        let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window) / self.divisor(now, h);
         let sparse = share < self.unit();
         let since = if sparse { h.slot } else { now.saturating_sub(window) };
         let lately: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
         let open = !sparse || (h.slot > 0 && now < h.slot + window);
-        open && lately + work <= if sparse { self.unit() } else { share } + 1e-9
+        h.noted(now, work, open && lately + work <= if sparse { self.unit() } else { share } + 1e-9)
     }
 
     /// The largest mean sending time of a class: the most that one request weighs on a cold host.
@@ -549,7 +549,7 @@
             let window = secs(self.settings.fall_after).max(0.001);
             let bears = able * window / unit;
             let mean = ((9.0 + 4.0 * multiple * bears).sqrt() - 3.0).powi(2) / 4.0;
-            let rate = mean.min(2.0 * COLD_USE * bears) / (2.0 * window) / f64::from(self.sharing(h));
+            let rate = mean.min(2.0 * COLD_USE * bears) / (2.0 * window) / self.divisor(now, h);
             let fresh = self.rng.next_u64() as f64 / u64::MAX as f64;
             let Some(h) = self.fleet.hosts.get_mut(&id) else { continue };
             let (phase, at) = h.phase.unwrap_or((fresh, now));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -49,5 +49,6 @@
 pub use insight::Rotation;
 pub use interface::*;
 pub use memory::{ClassMemory, HostMemory, Memory};
+pub use retune::{ColdDemand, Part, Sharers};
 pub use settings::{settings_from, Pairs, SettingError};
 pub use state::Purges;
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -2,8 +2,17 @@
 
 use crate::doubt::Doubt;
 use crate::interface::*;
+use crate::retune::Leased;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Work that cold budgets did not admit is forgotten over about this long.
+const KEPT: Time = 1_500 * MS;
+
+fn past(long: Time) -> f64 {
+    (-(long as f64) / KEPT as f64).exp()
+}
+
 pub(crate) fn secs(t: Time) -> f64 {
     t as f64 / SEC as f64
 }
@@ -65,6 +74,8 @@
     pub(crate) tardy: f64,
     /// Work asked of it lately: when, for which attempt, seconds of sending.
     pub(crate) ledger: VecDeque<(Time, u64, f64)>,
+    /// Work kept from it lately, as its cold budget was spent: as of when, seconds of sending.
+    unmet: Cell<(Time, f64)>,
 }
 
 impl Host {
@@ -74,6 +85,21 @@
         f64::from(self.inflight) + (self.load - f64::from(self.inflight)) * past
     }
 
+    /// Notes what its cold budget did not admit, once a moment: one request asks more than once.
+    pub(crate) fn noted(&self, now: Time, work: f64, admitted: bool) -> bool {
+        let (at, unmet) = self.unmet.get();
+        if !admitted && now > at {
+            self.unmet.set((now, unmet * past(now - at) + work));
+        }
+        admitted
+    }
+
+    /// Work that was kept from it within about the last KEPT.
+    pub(crate) fn unmet(&self, now: Time) -> f64 {
+        let (at, unmet) = self.unmet.get();
+        unmet * past(now.saturating_sub(at))
+    }
+
     /// Something was in hand for so long, as is known at its end.
     pub(crate) fn spend(&mut self, now: Time, over: Time, spell: Time) {
         let load = self.load(now, over) + spell as f64 / over as f64;
@@ -228,6 +254,8 @@
     pub(crate) further: u32,
     /// Dispatchers that may be at work, in all and in the own zone, where that is known better than by the settings.
     pub(crate) counted: Option<(u32, u32)>,
+    /// Parts of cold budgets that are agreed with others, in place of even ones.
+    pub(crate) leased: Option<Leased>,
 }
 
 impl Fleet {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,4 +2,8 @@
 //! of the seed that it is given: datagrams, times and the local router's own events go in, datagrams, timers and
 //! changes come out. The same inputs give the same outputs. `docs/fleet.md` has the design and what is promised.
 
+mod envelope;
+pub mod limits;
 pub mod view;
+
+pub use envelope::{Unread, DATAGRAM_MOST};
--- /dev/null
+++ b/crates/fleet/src/limits/mod.rs
@@ -0,0 +1,616 @@
+//! Limits of the whole fleet that must never be exceeded, as parts on lease: what a server that has just started bears,
+//! shared by all routers that send to it. It decides how much of each limit this router may use now and until when, and
+//! what it gives to whom; what a limit is worth, and what is done with it, is the decision module's.
+//!
+//! Every limit is [`WHOLE`] parts that exist once. A router's *home* is its even share, by the number of routers that may
+//! be at work; parts of it move by lots on lease ([`book`](self) counts them out before they are told). Homes are even
+//! shares only as long as everybody divides by enough: a router that starts uses none until all others have said that
+//! they count it, and that all they ever gave fits under that ([`Limits::open`]).
+//!
+//! Who has too much and who too little meet at a *broker*, by rendezvous hash over those who can be reached. A broker has
+//! no authority: two of them are two markets, and what each has was counted out elsewhere.
+
+mod book;
+mod message;
+
+use crate::envelope::{fleet_hash, DATAGRAM_MOST};
+use book::Book;
+use hollymux_decide::{ColdDemand, Part, Sharers, Time, MS};
+use message::{Head, Item, ITEMS_MOST};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Parts of a limit.
+pub const WHOLE: u32 = 1 << 20;
+/// Limits that are looked after at once; routers divide any further ones evenly.
+pub const LIMITS_MOST: usize = 512;
+/// Datagrams that wait to be taken; what is beyond is as if the network had lost it.
+const OUT_MOST: usize = 512;
+/// Routers that are asked in one turn whether they count this one.
+const ASKED: usize = 32;
+/// What somebody wanted is forgotten after so many turns.
+const WANTED: Time = 3;
+
+/// A router in one of its lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Holder(pub SocketAddr, pub u64);
+
+/// Times that the bounds follow from. Every one has its reason in `docs/fleet-limits.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// A lot is given for so long, from when its taker asked.
+    pub lease: Time,
+    /// What a broker gives on is given for so long.
+    pub onward: Time,
+    /// From one word to the broker to the next.
+    pub turn: Time,
+    /// The window over which use of a limit counts: so much later a part that is back may be used again.
+    pub window: Time,
+    /// The most that a router's clock runs fast or slow, as so many in 1000.
+    pub drift: Time,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { lease: 2_500 * MS, onward: 1_200 * MS, turn: 400 * MS, window: 1_500 * MS, drift: 10 }
+    }
+}
+
+impl Terms {
+    /// How long a giver holds back what it gave for so long. By true time the taker's end comes `long / (1 - drift)`
+    /// after it asked at the latest, and the giver, which was asked later, counts at most `1 + drift` times as much.
+    pub fn held_back(&self, long: Time) -> Time {
+        long + (long * 3 * self.drift).div_ceil(1_000)
+    }
+
+    /// What was used counts for so long, by any clock.
+    pub fn tail(&self) -> Time {
+        self.held_back(self.window)
+    }
+
+    /// When all that a router has given, used or held is over, from when it stopped.
+    pub fn over(&self) -> Time {
+        self.held_back(self.lease.max(self.onward)) + self.tail()
+    }
+}
+
+/// Another router, as the view has it: all that may be at work.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Whether it is of the own office.
+    pub here: bool,
+    /// Whether it can be reached, as far as the view can tell: to save words by, nothing else.
+    pub reachable: bool,
+}
+
+/// What is known of another router.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Peer {
+    here: bool,
+    reachable: bool,
+    /// The life that it last spoke in, and its clock then; 0: it has not spoken.
+    life: u64,
+    stamp: Time,
+    /// The set of routers under which it says that all it has given fits.
+    counts: u64,
+    /// It wants so much, of those limits, since when.
+    wants: BTreeMap<u64, (u32, Time)>,
+    /// It, or an earlier life of it, used a share of its own; and it says the same of this router.
+    open: bool,
+    knew: bool,
+}
+
+/// A limit that is in use here.
+#[derive(Clone, Debug)]
+struct Limit {
+    sharers: Sharers,
+    used: u32,
+    wanted: u32,
+    book: Book,
+    /// It is asked for here at present.
+    asked: bool,
+}
+
+/// What a limit stands at, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The limit, and who shares it.
+    pub limit: u64,
+    /// See `limit`.
+    pub sharers: Sharers,
+    /// Parts that may be used here now.
+    pub has: u32,
+    /// The own even share, what is held from others, and what others have or had within a window.
+    pub home: u32,
+    /// See `home`.
+    pub held: u32,
+    /// See `home`.
+    pub lent: u32,
+    /// Used within the last window, and wanted.
+    pub used: u32,
+    /// See `used`.
+    pub wanted: u32,
+    /// When the next lot that is held ends, and when the next one that was given is back, by the own clock.
+    pub ends: Option<Time>,
+    /// See `ends`.
+    pub back: Option<Time>,
+    /// Where too much and too little meet; none: here.
+    pub broker: Option<SocketAddr>,
+}
+
+/// Counts for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Words read and sent, and their bytes.
+    pub received: (u64, u64),
+    /// See `received`.
+    pub sent: (u64, u64),
+    /// Datagrams that are none: form, damage, fields, another fleet's.
+    pub unread: [u64; 4],
+    /// Words for, or from, another life.
+    pub stale: u64,
+    /// Lots given and taken, and those that came too late to be used.
+    pub given: u64,
+    /// See `given`.
+    pub taken: u64,
+    /// See `given`.
+    pub late: u64,
+}
+
+/// What a router is set up with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet's name: words of others are dropped.
+    pub fleet: String,
+    /// The address that others send to.
+    pub addr: SocketAddr,
+    /// The number of this life of the process: no other one of this address has had it.
+    pub life: u64,
+    /// Routers that are configured, in all and in the own office: nobody divides by fewer.
+    pub configured: (u32, u32),
+    /// Times.
+    pub terms: Terms,
+}
+
+/// One router's parts of the fleet's limits.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    setup: Setup,
+    fleet: u64,
+    now: Time,
+    began: Time,
+    peers: BTreeMap<SocketAddr, Peer>,
+    /// Routers by whose number homes are divided, in all and here; and the digest of the set.
+    among: (u32, u32),
+    digest: u64,
+    /// When homes last became smaller, or would have become larger.
+    shrunk: Time,
+    /// The larger homes that wait until those who left are over.
+    grows: Option<(Time, (u32, u32))>,
+    /// The home of this router is in use.
+    open: bool,
+    stopped: bool,
+    limits: BTreeMap<u64, Limit>,
+    lot: u64,
+    next_turn: Time,
+    next_asked: usize,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+    /// Counts.
+    pub counts: Counts,
+}
+
+impl Limits {
+    /// A router that has just started: it has nothing.
+    pub fn new(setup: Setup, now: Time) -> Limits {
+        let among = (setup.configured.0.max(1), setup.configured.1.max(1));
+        let mut limits = Limits {
+            fleet: fleet_hash(&setup.fleet),
+            now,
+            began: now,
+            peers: BTreeMap::new(),
+            among,
+            digest: 0,
+            shrunk: now,
+            grows: None,
+            open: false,
+            stopped: false,
+            limits: BTreeMap::new(),
+            lot: 0,
+            next_turn: now,
+            next_asked: 0,
+            out: VecDeque::new(),
+            counts: Counts::default(),
+            setup,
+        };
+        limits.digest = limits.digest_of(&BTreeSet::new());
+        limits
+    }
+
+    // ---- what goes in ----
+
+    /// Everybody else who may be at work, by the view's second set, and how many there was no room for.
+    pub fn members(&mut self, now: Time, members: impl IntoIterator<Item = Member>, beyond: u32) {
+        self.pass(now);
+        let mut named = BTreeSet::new();
+        let mut here = 1;
+        for m in members {
+            here += u32::from(m.here);
+            named.insert(m.addr);
+            let peer = self.peers.entry(m.addr).or_insert(Peer {
+                here: m.here,
+                reachable: m.reachable,
+                life: 0,
+                stamp: 0,
+                counts: 0,
+                wants: BTreeMap::new(),
+                open: false,
+                knew: false,
+            });
+            (peer.here, peer.reachable) = (m.here, m.reachable);
+        }
+        self.peers.retain(|addr, _| named.contains(addr));
+        let digest = self.digest_of(&named).wrapping_add(u64::from(beyond));
+        if digest != self.digest {
+            self.digest = digest;
+            // Whatever was given before may have been more than the new share leaves.
+            self.shrunk = self.now;
+        }
+        let all = named.len() as u32 + 1 + beyond;
+        let (of_all, of_here) = self.setup.configured;
+        let among = (all.max(of_all).max(1), (here + beyond).max(of_here).max(1));
+        // Larger divisors bind at once; smaller ones when those who left, and what they gave, are over.
+        let bound = (self.among.0.max(among.0), self.among.1.max(among.1));
+        self.among = bound;
+        self.grows = match self.grows {
+            _ if among == bound => None,
+            Some((at, then)) if then == among => Some((at, among)),
+            _ => Some((self.now + self.setup.terms.over(), among)),
+        };
+    }
+
+    /// What is asked for here now, in place of what was before.
+    pub fn demand(&mut self, now: Time, demands: &[ColdDemand]) {
+        self.pass(now);
+        self.limits.values_mut().for_each(|l| (l.asked, l.used, l.wanted) = (false, 0, 0));
+        let parts = |f: f64| (f.clamp(0.0, 1.0) * f64::from(WHOLE)).ceil() as u32;
+        for d in demands.iter().take(LIMITS_MOST) {
+            let l = self.limits.entry(d.host.0).or_insert_with(|| Limit {
+                sharers: d.sharers,
+                used: 0,
+                wanted: 0,
+                book: Book::default(),
+                asked: true,
+            });
+            (l.sharers, l.used, l.wanted, l.asked) = (d.sharers, parts(d.used), parts(d.wanted), true);
+        }
+        let terms = self.setup.terms;
+        self.limits.retain(|_, l| {
+            l.book.expire(now, &terms);
+            l.asked || !l.book.idle()
+        });
+    }
+
+    /// A datagram of this kind came. What can't be read is counted; nothing of it is believed.
+    pub fn datagram(&mut self, now: Time, bytes: &[u8]) {
+        self.pass(now);
+        self.counts.received.0 += 1;
+        self.counts.received.1 += bytes.len() as u64;
+        match message::read(bytes, self.fleet) {
+            Ok((head, items)) => self.on_word(&head, &items),
+            Err(e) => self.counts.unread[e as usize] += 1,
+        }
+    }
+
+    /// Time has passed; to be called when [`Limits::due`] says so, with [`Limits::demand`] before it.
+    pub fn tick(&mut self, now: Time) {
+        self.pass(now);
+        if self.stopped || self.now < self.next_turn {
+            return;
+        }
+        self.next_turn = self.now + self.setup.terms.turn;
+        self.try_open();
+        if !self.open {
+            self.ask_whether_counted();
+        }
+        self.deal();
+    }
+
+    /// This router sends nothing from now on but what is under way: it has no share any more.
+    pub fn stop(&mut self, now: Time) {
+        self.pass(now);
+        (self.open, self.stopped) = (false, true);
+    }
+
+    // ---- what comes out ----
+
+    /// When [`Limits::tick`] is to be called.
+    pub fn due(&self) -> Time {
+        self.next_turn
+    }
+
+    /// The next datagram to send.
+    pub fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.out.pop_front()
+    }
+
+    /// What may be used of a limit here; the own even share if nothing was asked for yet.
+    pub fn part(&self, now: Time, limit: u64, sharers: Sharers) -> Part {
+        let part = |parts: u32| f64::from(parts) / f64::from(WHOLE);
+        let home = self.home(sharers);
+        let Some(l) = self.limits.get(&limit).filter(|_| !self.stopped) else {
+            return Part { now: part(home), until: Time::MAX, after: part(home) };
+        };
+        let terms = &self.setup.terms;
+        let has = part(l.book.has(now, home, terms));
+        // When the first lot ends, all of them count as ended: the next word says more.
+        let after = part(home.saturating_sub(l.book.lent(now, terms)));
+        l.book.ends(now).map_or(Part { now: has, until: Time::MAX, after: has }, |until| Part {
+            now: has,
+            until,
+            after,
+        })
+    }
+
+    /// Whether this router's even share is in use, and by how many the whole is divided, in all and here.
+    pub fn homes(&self) -> (bool, u32, u32) {
+        (self.open, self.among.0, self.among.1)
+    }
+
+    /// Times.
+    pub fn terms(&self) -> &Terms {
+        &self.setup.terms
+    }
+
+    /// Others who have not said that they count this router.
+    pub fn not_counted_by(&self) -> Vec<SocketAddr> {
+        let not = self.peers.iter().filter(|(_, p)| p.counts != self.digest);
+        not.map(|(addr, _)| *addr).collect()
+    }
+
+    /// Limits that are asked for, or of which something is held or lent.
+    pub fn standings(&self) -> Vec<Standing> {
+        let terms = &self.setup.terms;
+        let one = |(id, l): (&u64, &Limit)| Standing {
+            limit: *id,
+            sharers: l.sharers,
+            has: l.book.has(self.now, self.home(l.sharers), terms),
+            home: self.home(l.sharers),
+            held: l.book.held(self.now),
+            lent: l.book.lent(self.now, terms),
+            used: l.used,
+            wanted: l.wanted,
+            ends: l.book.ends(self.now),
+            back: l.book.back(self.now, terms),
+            broker: self.broker(*id, l.sharers),
+        };
+        self.limits.iter().map(one).collect()
+    }
+
+    /// Whether a datagram is of this kind, by its first byte.
+    pub fn is_for(bytes: &[u8]) -> bool {
+        bytes.first() == Some(&message::VERSION)
+    }
+
+    // ---- the own share ----
+
+    fn pass(&mut self, now: Time) {
+        self.now = now.max(self.now);
+        if let Some((_, among)) = self.grows.filter(|(at, _)| self.now >= *at) {
+            (self.among, self.grows) = (among, None);
+        }
+    }
+
+    fn digest_of(&self, others: &BTreeSet<SocketAddr>) -> u64 {
+        let mut all: Vec<String> = others.iter().map(SocketAddr::to_string).collect();
+        all.push(self.setup.addr.to_string());
+        all.sort();
+        xxh3_64_with_seed(all.join(" ").as_bytes(), 6) | 1
+    }
+
+    /// Parts of a limit that are this router's own.
+    fn home(&self, sharers: Sharers) -> u32 {
+        match sharers {
+            _ if !self.open => 0,
+            Sharers::All => WHOLE / self.among.0,
+            Sharers::Zone => WHOLE / self.among.1,
+            Sharers::Elsewhere => 0,
+        }
+    }
+
+    /// The set that all this router uses and has given fits under: everything older has ended.
+    fn fits(&self) -> u64 {
+        if self.now >= self.shrunk + self.setup.terms.over() {
+            self.digest
+        } else {
+            0
+        }
+    }
+
+    /// Begins to use the own share: what an earlier life of this address gave or used is over, and everybody else who may
+    /// be at work says that he counts this one, or somebody knows that an earlier life of it was counted so.
+    fn try_open(&mut self) {
+        if self.open || self.now < self.began + self.setup.terms.over() {
+            return;
+        }
+        let counted = self.peers.values().all(|p| p.counts == self.digest);
+        let before = self.peers.values().any(|p| p.knew);
+        self.open = counted || before;
+    }
+
+    fn ask_whether_counted(&mut self) {
+        let not = self.not_counted_by();
+        let some = not.len().min(ASKED);
+        for i in 0..some {
+            let to = not[(self.next_asked + i) % not.len()];
+            self.say(to, Vec::new(), false);
+        }
+        self.next_asked = self.next_asked.wrapping_add(some);
+    }
+
+    // ---- words ----
+
+    fn say(&mut self, to: SocketAddr, items: Vec<Item>, answer: bool) {
+        let Some(peer) = self.peers.get(&to) else { return };
+        let head = Head {
+            fleet: self.fleet,
+            from: self.setup.addr,
+            start: self.setup.life,
+            to: peer.life,
+            stamp: self.now,
+            echo: peer.stamp,
+            counts: self.fits(),
+            open: self.open,
+            knew: peer.open,
+            answer,
+        };
+        let bytes = message::write(&head, &items);
+        debug_assert!(bytes.len() <= DATAGRAM_MOST, "a word of {} bytes", bytes.len());
+        if self.out.len() < OUT_MOST {
+            self.counts.sent.0 += 1;
+            self.counts.sent.1 += bytes.len() as u64;
+            self.out.push_back((to, bytes));
+        }
+    }
+
+    fn on_word(&mut self, head: &Head, items: &[Item]) {
+        let me = self.setup.life;
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(&head.from) else { return self.counts.stale += 1 };
+        if head.to != me && head.to != 0 || head.echo > now {
+            return self.counts.stale += 1;
+        }
+        if peer.life != head.start {
+            (peer.life, peer.stamp) = (head.start, 0);
+            peer.wants.clear();
+        }
+        peer.stamp = peer.stamp.max(head.stamp);
+        peer.open |= head.open;
+        peer.counts = head.counts;
+        peer.knew |= head.knew;
+        let from = Holder(head.from, head.start);
+        for item in items {
+            if head.to == me {
+                self.take(from, item, head.echo);
+            }
+            if let Some(peer) = self.peers.get_mut(&head.from) {
+                let known = peer.wants.contains_key(&item.limit);
+                if !head.answer && (known || peer.wants.len() < LIMITS_MOST) {
+                    peer.wants.insert(item.limit, (item.want.min(WHOLE), now));
+                }
+            }
+        }
+        if !head.answer && !self.stopped {
+            let reply = items.iter().filter_map(|i| self.serve(from, i)).collect();
+            self.say(head.from, reply, true);
+        }
+    }
+
+    /// Takes what is given, for so long from when this router's word was sent that it answers.
+    fn take(&mut self, from: Holder, item: &Item, asked: Time) {
+        let now = self.now;
+        // What nobody asks for here would only lie about.
+        let Some(l) = self.limits.get_mut(&item.limit).filter(|l| l.sharers != Sharers::Elsewhere) else {
+            return;
+        };
+        for gift in &item.gifts {
+            let ends = asked.saturating_add(gift.long.min(self.setup.terms.lease));
+            if asked == 0 || ends <= now {
+                self.counts.late += 1;
+                continue;
+            }
+            self.counts.taken += 1;
+            l.book.take(now, from, gift, ends);
+        }
+    }
+
+    // ---- who gets what ----
+
+    /// Where too much and too little of a limit meet, if not here.
+    fn broker(&self, limit: u64, sharers: Sharers) -> Option<SocketAddr> {
+        let draw = |a: &SocketAddr| (xxh3_64_with_seed(a.to_string().as_bytes(), limit), *a);
+        let fits = |p: &Peer| p.reachable && (sharers != Sharers::Zone || p.here);
+        let others = self.peers.iter().filter(|(_, p)| fits(p)).map(|(a, _)| *a);
+        let best = others.chain([self.setup.addr]).max_by_key(draw)?;
+        Some(best).filter(|b| *b != self.setup.addr)
+    }
+
+    /// Tells each broker what is wanted, and gives it what is not.
+    fn deal(&mut self) {
+        let mut words: BTreeMap<SocketAddr, Vec<Item>> = BTreeMap::new();
+        let ids: Vec<u64> = self
+            .limits
+            .iter()
+            .filter(|(_, l)| l.asked && l.sharers != Sharers::Elsewhere)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            let Some(sharers) = self.limits.get(&id).map(|l| l.sharers) else { continue };
+            let Some(broker) = self.broker(id, sharers) else { continue };
+            let home = self.home(sharers);
+            let Some(l) = self.limits.get_mut(&id) else { continue };
+            // A little stays here: the first requests after a lull do not wait for a word.
+            let keep = l.wanted.max(l.used).max(home / 8).saturating_add(home / 16);
+            let spare = home.saturating_sub(keep);
+            let Some(peer) = self.peers.get(&broker) else { continue };
+            let to = Holder(broker, peer.life);
+            let mut gifts = Vec::new();
+            if peer.life != 0 {
+                let terms = self.setup.terms;
+                gifts = l.book.give(self.now, to, spare, terms.lease, home, l.used, &terms, &mut self.lot);
+                self.counts.given += gifts.len() as u64;
+            }
+            let want = keep.saturating_sub(home);
+            words.entry(broker).or_default().push(Item { limit: id, want, gifts });
+        }
+        for (to, items) in words {
+            for some in items.chunks(ITEMS_MOST) {
+                self.say(to, some.to_vec(), false);
+            }
+        }
+    }
+
+    /// What one who asks gets of a limit, if it is asked for here as well: all who want more than they have are given as
+    /// much as each other, as far as there is.
+    fn serve(&mut self, to: Holder, item: &Item) -> Option<Item> {
+        let terms = self.setup.terms;
+        let sharers = self.limits.get(&item.limit)?.sharers;
+        let asks = |p: &Peer| {
+            let (want, since) = *p.wants.get(&item.limit)?;
+            (self.now < since + WANTED * terms.turn && (sharers != Sharers::Zone || p.here)).then_some(want)
+        };
+        let wants: Vec<u32> = self.peers.values().filter_map(asks).collect();
+        let own = self.peers.get(&to.0).and_then(asks)?;
+        let home = self.home(sharers);
+        let l = self.limits.get_mut(&item.limit)?;
+        let lent = self.peers.iter().map(|(a, p)| l.book.lent_to(&Holder(*a, p.life), self.now));
+        let lent: u32 = lent.fold(0, u32::saturating_add);
+        let mine = l.wanted.max(l.used).max(home / 8);
+        // Each of them has a home as well: the level is that of all that each has.
+        let homes = home.saturating_mul(wants.len() as u32);
+        let all = l.book.has(self.now, home, &terms).saturating_add(lent).saturating_add(homes);
+        let level = level(wants.iter().map(|w| w.saturating_add(home)).chain([mine]), all);
+        let target = own.min(level.saturating_sub(home));
+        let used = l.used;
+        let gifts = l.book.give(self.now, to, target, terms.onward, home, used, &terms, &mut self.lot);
+        self.counts.given += gifts.len() as u64;
+        Some(Item { limit: item.limit, want: 0, gifts })
+    }
+}
+
+/// The level up to which all wants can be met out of so much: who wants less gets what he wants.
+fn level(wants: impl Iterator<Item = u32>, all: u32) -> u32 {
+    let mut wants: Vec<u32> = wants.collect();
+    wants.sort_unstable();
+    let (mut left, mut more) = (all, wants.len() as u32);
+    for want in wants {
+        let even = left / more.max(1);
+        if want > even {
+            return even;
+        }
+        (left, more) = (left - want, more - 1);
+    }
+    WHOLE
+}
--- a/crates/fleet/src/view/message.rs
+++ b/crates/fleet/src/view/message.rs
@@ -2,31 +2,12 @@
 //! datagram that is not understood whole is none.
 
 use super::record::{Digests, Record};
+use crate::envelope::{self, Unread, CHECK, DATAGRAM_MOST};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// No datagram is longer: it fits a packet on any network in use, tunnels included.
-pub const DATAGRAM_MOST: usize = 1_400;
 const VERSION: u8 = 1;
-const CHECK: usize = 4;
-
-/// Why a datagram is none.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Unread {
-    /// Too long, too short, or of another version.
-    #[error("no datagram of this version")]
-    Form,
-    /// Its checksum does not fit.
-    #[error("damaged")]
-    Damaged,
-    /// It can't be read, or holds what is out of bounds.
-    #[error("unusable fields")]
-    Fields,
-    /// It belongs to another fleet.
-    #[error("of another fleet")]
-    Foreign,
-}
 
 /// What is wanted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,48 +47,32 @@
     pub(crate) by: u32,
 }
 
-/// A fleet's name in datagrams.
-pub(crate) fn fleet_hash(name: &str) -> u64 {
-    xxh3_64_with_seed(name.as_bytes(), 3)
-}
-
 /// Who suspects, in news.
 pub(crate) fn by(addr: SocketAddr) -> u32 {
     xxh3_64_with_seed(addr.to_string().as_bytes(), 4) as u32
 }
 
-fn check(bytes: &[u8]) -> [u8; CHECK] {
-    (xxh3_64_with_seed(bytes, 5) as u32).to_le_bytes()
-}
-
 /// Writes a head and as much news, in order, as fits; says how many went in.
 pub(crate) fn write<'a>(head: &Head, news: impl Iterator<Item = &'a News>) -> (Vec<u8>, usize) {
-    let mut bytes = vec![VERSION];
-    bytes.extend(postcard::to_stdvec(head).unwrap_or_default());
     let mut count = 0;
-    for n in news {
-        let Ok(text) = postcard::to_stdvec(n) else { break };
-        if bytes.len() + text.len() + CHECK > DATAGRAM_MOST {
-            break;
+    let bytes = envelope::seal(VERSION, |bytes| {
+        bytes.extend(postcard::to_stdvec(head).unwrap_or_default());
+        for n in news {
+            let Ok(text) = postcard::to_stdvec(n) else { break };
+            if bytes.len() + text.len() + CHECK > DATAGRAM_MOST {
+                break;
+            }
+            bytes.extend(text);
+            count += 1;
         }
-        bytes.extend(text);
-        count += 1;
-    }
-    let check = check(&bytes);
-    bytes.extend(check);
+    });
     (bytes, count)
 }
 
 /// Reads a datagram of this fleet.
 pub(crate) fn read(bytes: &[u8], fleet: u64) -> Result<(Head, Vec<News>), Unread> {
-    if bytes.len() > DATAGRAM_MOST || bytes.len() < 1 + CHECK || bytes[0] != VERSION {
-        return Err(Unread::Form);
-    }
-    let (text, sum) = bytes.split_at(bytes.len() - CHECK);
-    if sum != check(text) {
-        return Err(Unread::Damaged);
-    }
-    let (head, mut rest) = postcard::take_from_bytes::<Head>(&text[1..]).map_err(|_| Unread::Fields)?;
+    let text = envelope::open(VERSION, bytes)?;
+    let (head, mut rest) = postcard::take_from_bytes::<Head>(text).map_err(|_| Unread::Fields)?;
     if head.fleet != fleet {
         return Err(Unread::Foreign);
     }
@@ -128,6 +93,7 @@
 mod tests {
     use super::super::record::{Phase, Rank};
     use super::*;
+    use crate::envelope::fleet_hash;
     use proptest::prelude::*;
 
     fn record(start: u64, name: &str) -> Record {
@@ -142,11 +108,7 @@
 
     /// Bytes with the version before them and the checksum behind, as only a router writes them.
     fn sealed(text: &[u8]) -> Vec<u8> {
-        let mut bytes = vec![VERSION];
-        bytes.extend_from_slice(text);
-        let sum = check(&bytes);
-        bytes.extend(sum);
-        bytes
+        envelope::seal(VERSION, |bytes| bytes.extend_from_slice(text))
     }
 
     /// Guards against a datagram that is longer than a packet, and against news that is cut with it.
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -10,9 +10,9 @@
 mod record;
 mod spread;
 
-pub use message::{Unread, DATAGRAM_MOST};
 pub use record::{Phase, Rank, Record, NAME_MOST};
 
+use crate::envelope::fleet_hash;
 use hollymux_decide::{Settings, Time, MS, SEC};
 use message::{Head, News};
 use probe::{Probe, Relay, Suspicion};
@@ -213,7 +213,7 @@
         let mut digests = Digests::default();
         digests.turn(setup.addr, &record);
         let mut view = View {
-            fleet: message::fleet_hash(&setup.fleet),
+            fleet: fleet_hash(&setup.fleet),
             rng: Pcg64Mcg::seed_from_u64(setup.seed),
             now,
             record,
--- a/crates/fleet/src/view/spread.rs
+++ b/crates/fleet/src/view/spread.rs
@@ -1,9 +1,10 @@
 //! What is told to whom: news on every datagram, each so often that nearly all hear of it, and comparison of views
 //! where digests differ.
 
-use super::message::{self, Body, Head, News, DATAGRAM_MOST};
+use super::message::{self, Body, Head, News};
 use super::record::{Digests, Rank, Record};
 use super::{View, OUT_MOST};
+use crate::envelope::DATAGRAM_MOST;
 use hollymux_decide::{Time, MS, SEC};
 use std::net::SocketAddr;
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,7 +3,11 @@
 
 use super::*;
 use crate::operator::Section;
-use hollymux_fleet::view::{Change, Phase as Doing, Rank, Record, Seen, Setup, Times, View, DATAGRAM_MOST};
+use crate::shelfs::UNSENT;
+use hollymux_decide::HostId;
+use hollymux_fleet::limits::{self, Limits, Standing, Terms, WHOLE};
+use hollymux_fleet::view::{Change, Phase as Doing, Rank, Record, Seen, Setup, Times, View};
+use hollymux_fleet::DATAGRAM_MOST;
 use serde_json::{json, Value};
 
 /// Datagrams that are read, and sent, in one turn of the loop: clients come before the rest.
@@ -21,6 +25,9 @@
     told: (u32, u32),
     /// Datagrams that the socket did not take.
     unsent: u64,
+    /// Parts of limits, where they are on lease; and whether others have heard that this router's share is in use.
+    limits: Option<Limits>,
+    open: bool,
 }
 
 impl Fleet {
@@ -46,7 +53,51 @@
             seed: config.seed ^ now,
         };
         let view = View::new(setup, now);
-        Fleet { section: section.clone(), view, socket: None, planned: 0, told: (0, 0), unsent: 0 }
+        let section = section.clone();
+        Fleet { section, view, socket: None, planned: 0, told: (0, 0), unsent: 0, limits: None, open: false }
+    }
+
+    /// The limits of a life that begins now, if they are on lease: it has no part of any.
+    fn begin_limits(&mut self, config: &Config, now: Time) {
+        let Some(leases) = &self.section.limits else { return };
+        let ms = |v: u64| v * MS;
+        let s = &config.settings;
+        let here = s.dispatchers_by_zone.get(usize::from(s.zone)).copied().unwrap_or(0);
+        let terms = Terms {
+            lease: ms(leases.lease_ms),
+            onward: ms(leases.onward_ms),
+            turn: ms(leases.turn_ms),
+            // What is decided now may be written so much later.
+            window: s.fall_after + UNSENT,
+            ..Terms::default()
+        };
+        let setup = limits::Setup {
+            fleet: self.section.name.clone(),
+            addr: self.section.advertised(),
+            // Processes that have one address one after another differ in one of them.
+            life: now.rotate_left(20) ^ u64::from(std::process::id()) | 1,
+            configured: (s.dispatchers, here),
+            terms,
+        };
+        self.limits = Some(Limits::new(setup, now));
+        self.tell_limits(now);
+    }
+
+    /// Tells the limits who may be at work.
+    fn tell_limits(&mut self, now: Time) {
+        let Some(limits) = &mut self.limits else { return };
+        let zone = &self.view.own().1.zone;
+        let deaf = self.view.deaf();
+        let others = self.view.others().filter(|s| s.record.rank != Rank::Left);
+        let members: Vec<limits::Member> = others
+            .map(|s| limits::Member {
+                addr: s.addr,
+                here: s.record.zone == *zone,
+                reachable: s.record.rank <= Rank::Suspect && !deaf,
+            })
+            .collect();
+        let beyond = self.view.at_work(None).saturating_sub(members.len() as u32 + 1);
+        limits.members(now, members, beyond);
     }
 }
 
@@ -63,6 +114,7 @@
                 if let Some(fleet) = &mut self.fleet {
                     fleet.socket = Some(key);
                     fleet.view.begin(self.now);
+                    fleet.begin_limits(&self.config, self.now);
                 }
                 self.fleet_turn();
             }
@@ -76,6 +128,12 @@
         let mut bytes = [0; DATAGRAM_MOST + 1];
         for _ in 0..TURN {
             match socket.recv(&mut bytes) {
+                Ok(n) if Limits::is_for(&bytes[..n]) => {
+                    if let Some(limits) = &mut fleet.limits {
+                        limits.demand(self.now, &self.router.cold_demands(self.now));
+                        limits.datagram(self.now, &bytes[..n]);
+                    }
+                }
                 Ok(n) => fleet.view.datagram(self.now, &bytes[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 // A datagram that could not be delivered somewhere is told here; it ends nothing.
@@ -93,6 +151,10 @@
         if self.now >= fleet.view.due() {
             fleet.view.tick(self.now);
         }
+        if let Some(limits) = fleet.limits.as_mut().filter(|l| self.now >= l.due()) {
+            limits.demand(self.now, &self.router.cold_demands(self.now));
+            limits.tick(self.now);
+        }
         if self.now >= fleet.planned {
             fleet.planned = 0;
         }
@@ -110,8 +172,8 @@
         if let Some(socket) = socket.or(placed) {
             for sent in 0.. {
                 more = sent == TURN;
-                let Some((to, bytes)) = Some(()).filter(|()| !more).and_then(|()| fleet.view.outgoing())
-                else {
+                let next = |f: &mut Fleet| f.view.outgoing().or_else(|| f.limits.as_mut()?.outgoing());
+                let Some((to, bytes)) = Some(()).filter(|()| !more).and_then(|()| next(&mut fleet)) else {
                     break;
                 };
                 if socket.send_to(&bytes, to).is_err() {
@@ -119,9 +181,15 @@
                 }
             }
         }
+        let mut changed = false;
         while let Some(change) = fleet.view.change() {
+            changed = true;
             say(&change);
         }
+        if changed {
+            fleet.tell_limits(self.now);
+        }
+        self.use_parts(&mut fleet);
         let told = fleet.view.shared_by(self.router.settings());
         if told != fleet.told {
             info!(
@@ -131,7 +199,8 @@
             fleet.told = told;
             self.router.count_routers(told.0, told.1);
         }
-        let due = if more { self.now } else { fleet.view.due() };
+        let due = fleet.limits.as_ref().map_or(Time::MAX, Limits::due).min(fleet.view.due());
+        let due = if more { self.now } else { due };
         if fleet.planned == 0 || due < fleet.planned {
             fleet.planned = due.max(self.now + 1);
             self.wheel.set(fleet.planned, Timer::Fleet);
@@ -139,6 +208,26 @@
         self.fleet = Some(fleet);
     }
 
+    /// Hands the core its parts of what cold servers bear.
+    fn use_parts(&mut self, fleet: &mut Fleet) {
+        let Some(limits) = &fleet.limits else { return };
+        let (open, all, here) = limits.homes();
+        if open != fleet.open {
+            fleet.open = open;
+            match open {
+                true => {
+                    info!("limits: all others count this router: it uses its share, 1/{all}, here 1/{here}")
+                }
+                false => info!("limits: this router has no share of its own any more"),
+            }
+        }
+        let home = |among: u32| if open { 1.0 / f64::from(among) } else { 0.0 };
+        let part = |s: &Standing| (HostId(s.limit), limits.part(self.now, s.limit, s.sharers));
+        let parts = limits.standings().iter().map(part).collect();
+        self.router.lease((home(all), home(here)), parts);
+        self.leased = true;
+    }
+
     /// What this router does has changed.
     pub(super) fn fleet_phase(&mut self) {
         let doing = match self.lifecycle.phase() {
@@ -160,6 +249,7 @@
     pub(super) fn fleet_leave(&mut self) {
         if let Some(fleet) = self.fleet.as_mut().filter(|f| f.socket.is_some()) {
             fleet.view.leave(self.now);
+            fleet.limits.iter_mut().for_each(|l| l.stop(self.now));
             self.fleet_after(None);
         }
     }
@@ -170,6 +260,10 @@
         let key = fleet.socket.take()?;
         let record = fleet.view.own().1;
         let identity = (record.start, record.incarnation);
+        if let Some(limits) = &mut fleet.limits {
+            limits.stop(self.now);
+            self.router.lease((0.0, 0.0), Default::default());
+        }
         self.close(key);
         Some(identity)
     }
@@ -220,6 +314,66 @@
         }))
     }
 
+    /// Parts of limits for operators; none where they are not on lease.
+    pub(super) fn limits_status(&self) -> Option<Value> {
+        let fleet = self.fleet.as_ref()?;
+        let limits = fleet.limits.as_ref()?;
+        let (open, all, here) = limits.homes();
+        let part = |parts: u32| f64::from(parts) / f64::from(WHOLE);
+        let line = |s: Standing| {
+            json!({"server": self.router.uid(HostId(s.limit)).map(str::to_string), "limit": format!("{:016x}", s.limit),
+                   "shared_by": s.sharers.name(), "share": part(s.home), "held": part(s.held), "lent": part(s.lent),
+                   "may_use": part(s.has), "used": part(s.used), "wanted": part(s.wanted),
+                   "broker": s.broker.map_or("this router".to_string(), |b| b.to_string())})
+        };
+        let terms = limits.terms();
+        let seconds = |t: Time| t as f64 / 1e6;
+        let c = limits.counts;
+        Some(json!({
+            "share_in_use": open,
+            "divided_by": all,
+            "divided_here_by": here,
+            "not_counted_by": limits.not_counted_by().iter().map(ToString::to_string).collect::<Vec<String>>(),
+            "bounds": {
+                "lease_s": seconds(terms.lease),
+                "onward_s": seconds(terms.onward),
+                "sum_when_links_work": 1.0,
+                "sum_when_links_fail": 1.0,
+                "more_for_each_that_nobody_counted": 1.0 / f64::from(all),
+                "lots_back_after_s": seconds(terms.over()),
+            },
+            "limits": limits.standings().into_iter().map(line).collect::<Vec<Value>>(),
+            "words": {"received": c.received.0, "sent": c.sent.0, "unread": c.unread, "stale": c.stale},
+            "lots": {"given": c.given, "taken": c.taken, "late": c.late},
+        }))
+    }
+
+    /// The same in numbers.
+    fn limits_figures(limits: &Limits) -> String {
+        let (open, all, here) = limits.homes();
+        let sum = |f: fn(&Standing) -> u32| {
+            limits.standings().iter().map(|s| u64::from(f(s)) * 1_000 / u64::from(WHOLE)).sum::<u64>()
+        };
+        let c = limits.counts;
+        let lines = [
+            ("open", u64::from(open)),
+            ("divided_by", u64::from(all)),
+            ("divided_here_by", u64::from(here)),
+            ("servers", limits.standings().len() as u64),
+            ("held_thousandths", sum(|s| s.held)),
+            ("lent_thousandths", sum(|s| s.lent)),
+            ("given", c.given),
+            ("taken", c.taken),
+            ("late", c.late),
+            ("stale", c.stale),
+            ("sent", c.sent.0),
+            ("sent_bytes", c.sent.1),
+            ("received", c.received.0),
+            ("unread", c.unread.iter().sum()),
+        ];
+        lines.iter().map(|(name, value)| format!("svc.limits_{name}={value}\n")).collect()
+    }
+
     /// The view in numbers, for the metrics; nothing without one.
     pub(super) fn fleet_figures(&self) -> String {
         let Some(fleet) = &self.fleet else { return String::new() };
@@ -245,7 +399,8 @@
             ("unread", c.unread.iter().sum()),
             ("unsent", fleet.unsent),
         ];
-        lines.iter().map(|(name, value)| format!("svc.fleet_{name}={value}\n")).collect()
+        let view: String = lines.iter().map(|(name, value)| format!("svc.fleet_{name}={value}\n")).collect();
+        view + &fleet.limits.as_ref().map_or(String::new(), Driver::limits_figures)
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -236,6 +236,8 @@
     legacy: Option<Box<Legacy>>,
     /// What this router knows of others, if it is to know them.
     fleet: Option<Box<fleet::Fleet>>,
+    /// What cold servers bear is on lease.
+    leased: bool,
     /// Limits are shared with one of them.
     shared: bool,
     /// When the control feed told something last.
@@ -285,6 +287,7 @@
             forebear: None,
             legacy: None,
             fleet: None,
+            leased: false,
             shared: false,
             feed_told: 0,
             over: false,
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -95,7 +95,8 @@
         let done = match asked.call {
             Call::Status => Ok(format!("{}\n", phase(self.lifecycle.phase()))),
             Call::Metrics => Ok(self.figures() + &self.fleet_figures()),
-            Call::Fleet => return self.fleet_answer(asked),
+            Call::Fleet => return told(self.fleet_status(), "fleet", asked),
+            Call::Limits => return told(self.limits_status(), "fleet.limits", asked),
             Call::Standby => self.change(Event::Standby),
             Call::Active => self.change(Event::Active),
         };
@@ -107,14 +108,6 @@
         answer(status, None, &done.unwrap_or_else(|text| text), asked.head_only)
     }
 
-    /// What this router knows of others; 404 where it is to know none.
-    fn fleet_answer(&self, asked: Asked) -> Vec<u8> {
-        match self.fleet_status() {
-            Some(status) => answer_json(&status.to_string(), asked.head_only),
-            None => answer(404, None, "no: the section fleet is off\n", asked.head_only),
-        }
-    }
-
     fn change(&mut self, event: Event) -> Result<String, String> {
         let done = self.live(event);
         let text = format!("{}\n", phase(self.lifecycle.phase()));
@@ -161,3 +154,11 @@
         Phase::Stopping => "stopping",
     }
 }
+
+/// What a router knows of others; 404 where that section of the operator's file is off.
+fn told(status: Option<serde_json::Value>, section: &str, asked: Asked) -> Vec<u8> {
+    match status {
+        Some(status) => answer_json(&status.to_string(), asked.head_only),
+        None => answer(404, None, &format!("no: the section {section} is off\n"), asked.head_only),
+    }
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -51,6 +51,40 @@
     /// Routers that are lost are tried again no more often than this. Default: 1000.
     #[serde(default = "retry_ms")]
     pub retry_ms: u64,
+    /// What cold servers bear is shared by parts that move on lease, in place of even shares. Default: it is not.
+    #[serde(default)]
+    pub limits: Option<Leases>,
+}
+
+/// Parts of limits on lease (docs/fleet-limits.md has the reasons for the times).
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Leases {
+    /// Parts are given for this long. Default: 2500.
+    pub lease_ms: u64,
+    /// What a broker passes on is given for this long. Default: 1200.
+    pub onward_ms: u64,
+    /// From one word to a broker to the next. Default: 400.
+    pub turn_ms: u64,
+}
+
+impl Default for Leases {
+    fn default() -> Leases {
+        Leases { lease_ms: 2_500, onward_ms: 1_200, turn_ms: 400 }
+    }
+}
+
+impl Leases {
+    fn check(&self, faults: &mut Faults) {
+        let within = |v: u64, least, most| (least..=most).contains(&v);
+        let turn = within(self.turn_ms, 50, 10_000);
+        faults.unless(turn, "fleet.limits.turn_ms", "must lie between 50 and 10000");
+        let onward = within(self.onward_ms, 2 * self.turn_ms, 60_000);
+        faults.unless(onward, "fleet.limits.onward_ms", "must be at least twice turn_ms, at most 60000");
+        let lease = within(self.lease_ms, self.onward_ms + 2 * self.turn_ms, 120_000);
+        let why = "must be at least onward_ms and twice turn_ms, at most 120000";
+        faults.unless(lease, "fleet.limits.lease_ms", why);
+    }
 }
 
 impl Section {
@@ -83,6 +117,7 @@
             "must not be less than suspect_least_ms, at most 600000",
         );
         faults.unless(within(self.retry_ms, 200, 60_000), "fleet.retry_ms", "must lie between 200 and 60000");
+        self.limits.iter().for_each(|l| l.check(faults));
     }
 }
 
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -9,7 +9,7 @@
 
 /// What was not begun to be written this long after it was decided is not sent: drains leave 500 ms, purges
 /// 300 ms from when they were told, and what is on its way then must have been decided before.
-const UNSENT: Time = 200 * MS;
+pub(super) const UNSENT: Time = 200 * MS;
 /// Connections to one host.
 const LINE_MOST: usize = 32;
 /// Ids given up or answered lately on a connection: the same id is not asked there again, a late answer or a
@@ -293,9 +293,11 @@
     }
 
     fn write_out(&mut self, key: Key, conn: &mut ShelfConn) -> Fate {
+        // A part on lease may have ended while this process stood still: the clock is looked at again.
+        let now = if self.leased { self.clock.now() } else { self.now };
         while let Some(message) = conn.queue.front_mut() {
             if let Some(attempt) = message.attempt.filter(|_| !message.begun) {
-                if self.now > message.decided + UNSENT {
+                if now > message.decided + UNSENT {
                     self.unsend(conn, attempt);
                     continue;
                 }
--- a/crates/wire/src/operations.rs
+++ b/crates/wire/src/operations.rs
@@ -18,6 +18,8 @@
     Metrics,
     /// What is known of other routers.
     Fleet,
+    /// Parts of the fleet's limits.
+    Limits,
     /// Empty the router.
     Standby,
     /// Back to work.
@@ -123,6 +125,7 @@
         "/status" => Call::Status,
         "/status/metrics" => Call::Metrics,
         "/status/fleet" => Call::Fleet,
+        "/status/fleet/limits" => Call::Limits,
         "/standby" => Call::Standby,
         "/active" => Call::Active,
         _ => return Err(wrong(404)),
