Give parts in whole requests; play outages as a matrix; limits seen and tried on processes

Where parts are on lease the lottery of slots is off: nobody sends on less than a request, and the sum is exact.

Routers say to each other that their share is in use, so that a restart has it back on their word though another one is dead.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -521,7 +521,7 @@
         let Some((able, multiple)) = self.cold(now, h) else { return true };
         let window = self.settings.fall_after;
         let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window) / self.divisor(now, h);
-        let sparse = share < self.unit();
+        let sparse = share < self.unit() && self.fleet.leased.is_none();
         let since = if sparse { h.slot } else { now.saturating_sub(window) };
         let lately: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
         let open = !sparse || (h.slot > 0 && now < h.slot + window);
@@ -529,7 +529,7 @@
     }
 
     /// The largest mean sending time of a class: the most that one request weighs on a cold host.
-    fn unit(&self) -> f64 {
+    pub(crate) fn unit(&self) -> f64 {
         self.learnt.iter().map(|l| l.work).fold(0.001, f64::max)
     }
 
--- a/crates/decide/src/retune.rs
+++ b/crates/decide/src/retune.rs
@@ -49,6 +49,8 @@
     pub used: f64,
     /// The same with what was kept from it.
     pub wanted: f64,
+    /// What one request takes of it at most.
+    pub unit: f64,
 }
 
 /// Parts of cold budgets: of all those that nothing else is said of, and of hosts.
@@ -83,10 +85,12 @@
     pub fn cold_demands(&self, now: Time) -> Vec<ColdDemand> {
         let window = secs(self.settings.fall_after).max(0.001);
         let one = |id: &HostId| {
-            let h = self.fleet.hosts.get(id).filter(|h| h.entry.state == HostState::Ready)?;
+            // What is dead is asked for nothing; it counts from its return on.
+            let takes = |h: &&Host| h.entry.state == HostState::Ready && !h.died;
+            let h = self.fleet.hosts.get(id).filter(takes)?;
             let (able, multiple) = self.cold(now, h)?;
             let budget = (COLD_USE.min(COLD_PART * multiple) * able * window).max(1e-9);
-            let since = now.saturating_sub(self.settings.fall_after);
+            let since = now.saturating_sub(self.settings.fall_after).max(h.cold_since.unwrap_or(0));
             let used: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
             let sharers = self.sharers(h);
             Some(ColdDemand {
@@ -94,6 +98,7 @@
                 sharers,
                 used: used / budget,
                 wanted: (used + h.unmet(now)) / budget,
+                unit: self.unit() / budget,
             })
         };
         self.chilled.iter().filter_map(one).collect()
--- a/crates/fleet/src/limits/book.rs
+++ b/crates/fleet/src/limits/book.rs
@@ -144,7 +144,7 @@
         let unused = self.has(now, home, terms).saturating_sub(used);
         let parts = (target - total).min(unused).min(self.free_until(now, until, home));
         // Many small lots would each want to be told again in every word.
-        let worth_it = parts >= LEAST.max(target / 8) && gifts.len() < GIFTS_MOST;
+        let worth_it = parts >= LEAST.max(target / 16) && gifts.len() < GIFTS_MOST;
         if worth_it && self.lent.len() + self.fading.len() < LOTS_MOST {
             *next += 1;
             self.lent.insert(*next, Lent { to, parts, until });
--- a/crates/fleet/src/limits/message.rs
+++ b/crates/fleet/src/limits/message.rs
@@ -10,7 +10,7 @@
 /// The first byte of a datagram of this kind.
 pub(crate) const VERSION: u8 = 0x40;
 /// Limits in a datagram, and gifts of one limit: more go into the next.
-pub(crate) const ITEMS_MOST: usize = 8;
+pub(crate) const ITEMS_MOST: usize = 7;
 pub(crate) const GIFTS_MOST: usize = 8;
 
 /// What every datagram begins with.
@@ -41,6 +41,8 @@
     pub(crate) limit: u64,
     /// Parts that the sender would have from the receiver in all.
     pub(crate) want: u32,
+    /// What one request takes of it: less is of no use to the sender.
+    pub(crate) unit: u32,
     pub(crate) gifts: Vec<Gift>,
 }
 
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -14,8 +14,9 @@
 mod message;
 
 use crate::envelope::{fleet_hash, DATAGRAM_MOST};
+use crate::view::{Rank, View};
 use book::Book;
-use hollymux_decide::{ColdDemand, Part, Sharers, Time, MS};
+use hollymux_decide::{ColdDemand, HostId, Part, Sharers, Time, MS};
 use message::{Head, Item, ITEMS_MOST};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -29,6 +30,10 @@
 const OUT_MOST: usize = 512;
 /// Routers that are asked in one turn whether they count this one.
 const ASKED: usize = 32;
+/// Homes that were put together are taken back when each is so many requests.
+const APART: u32 = 3;
+/// What was wanted fades over about this long.
+const FADES: Time = 5_000 * MS;
 /// What somebody wanted is forgotten after so many turns.
 const WANTED: Time = 3;
 
@@ -86,6 +91,22 @@
     pub reachable: bool,
 }
 
+/// Everybody else who may be at work by a view, and how many it had no room for.
+pub fn members(view: &View) -> (Vec<Member>, u32) {
+    let zone = &view.own().1.zone;
+    let deaf = view.deaf();
+    let others = view.others().filter(|s| s.record.rank != Rank::Left);
+    let members: Vec<Member> = others
+        .map(|s| Member {
+            addr: s.addr,
+            here: s.record.zone == *zone,
+            reachable: s.record.rank <= Rank::Suspect && !deaf,
+        })
+        .collect();
+    let beyond = view.at_work(None).saturating_sub(members.len() as u32 + 1);
+    (members, beyond)
+}
+
 /// What is known of another router.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Peer {
@@ -96,8 +117,8 @@
     stamp: Time,
     /// The set of routers under which it says that all it has given fits.
     counts: u64,
-    /// It wants so much, of those limits, since when.
-    wants: BTreeMap<u64, (u32, Time)>,
+    /// It wants so much, of those limits, in steps of so much, since when.
+    wants: BTreeMap<u64, (u32, u32, Time)>,
     /// It, or an earlier life of it, used a share of its own; and it says the same of this router.
     open: bool,
     knew: bool,
@@ -108,10 +129,31 @@
 struct Limit {
     sharers: Sharers,
     used: u32,
-    wanted: u32,
+    /// Wanted at most lately, as of when; it fades.
+    wanted: (u32, Time),
+    /// What one request takes: less is of no use.
+    unit: u32,
     book: Book,
     /// It is asked for here at present.
     asked: bool,
+    /// All of the home is at the broker.
+    pooled: bool,
+}
+
+impl Limit {
+    /// What is wanted here. Requests come in bursts: what was wanted a moment ago will be again, and parts that go to
+    /// and fro are of no use to anybody on the way.
+    fn wants(&self, now: Time) -> u32 {
+        let past = now.saturating_sub(self.wanted.1) as f64 / FADES as f64;
+        (f64::from(self.wanted.0) * (-past).exp()) as u32
+    }
+
+    /// The same in whole requests.
+    fn needs(&self, now: Time) -> u32 {
+        let wants = self.wants(now).max(self.used);
+        // A tenth of a request is the rest of one that was wanted long ago.
+        wants.saturating_sub(self.unit / 10).div_ceil(self.unit).saturating_mul(self.unit).min(WHOLE)
+    }
 }
 
 /// What a limit stands at, for operators.
@@ -274,17 +316,21 @@
     /// What is asked for here now, in place of what was before.
     pub fn demand(&mut self, now: Time, demands: &[ColdDemand]) {
         self.pass(now);
-        self.limits.values_mut().for_each(|l| (l.asked, l.used, l.wanted) = (false, 0, 0));
+        self.limits.values_mut().for_each(|l| (l.asked, l.used) = (false, 0));
         let parts = |f: f64| (f.clamp(0.0, 1.0) * f64::from(WHOLE)).ceil() as u32;
         for d in demands.iter().take(LIMITS_MOST) {
             let l = self.limits.entry(d.host.0).or_insert_with(|| Limit {
                 sharers: d.sharers,
                 used: 0,
-                wanted: 0,
+                wanted: (0, now),
+                unit: 1,
                 book: Book::default(),
                 asked: true,
+                pooled: false,
             });
-            (l.sharers, l.used, l.wanted, l.asked) = (d.sharers, parts(d.used), parts(d.wanted), true);
+            (l.sharers, l.used, l.asked) = (d.sharers, parts(d.used), true);
+            l.unit = parts(d.unit).max(1);
+            l.wanted = (parts(d.wanted).max(l.wants(now)), now);
         }
         let terms = self.setup.terms;
         self.limits.retain(|_, l| {
@@ -312,9 +358,7 @@
         }
         self.next_turn = self.now + self.setup.terms.turn;
         self.try_open();
-        if !self.open {
-            self.ask_whether_counted();
-        }
+        self.ask_whether_counted();
         self.deal();
     }
 
@@ -381,7 +425,7 @@
             held: l.book.held(self.now),
             lent: l.book.lent(self.now, terms),
             used: l.used,
-            wanted: l.wanted,
+            wanted: l.wants(self.now),
             ends: l.book.ends(self.now),
             back: l.book.back(self.now, terms),
             broker: self.broker(*id, l.sharers),
@@ -389,6 +433,14 @@
         self.limits.iter().map(one).collect()
     }
 
+    /// What the decision module is told: the own share of a limit that all share, and of one of the office, as parts of
+    /// the whole; and what is said of each limit that is in use.
+    pub fn use_at(&self, now: Time) -> ((f64, f64), BTreeMap<HostId, Part>) {
+        let share = |among: u32| if self.open { 1.0 / f64::from(among) } else { 0.0 };
+        let parts = self.limits.iter().map(|(id, l)| (HostId(*id), self.part(now, *id, l.sharers)));
+        ((share(self.among.0), share(self.among.1)), parts.collect())
+    }
+
     /// Whether a datagram is of this kind, by its first byte.
     pub fn is_for(bytes: &[u8]) -> bool {
         bytes.first() == Some(&message::VERSION)
@@ -440,8 +492,11 @@
         self.open = counted || before;
     }
 
+    /// Asks those who have not said that they count this router; and once its home is in use, those who have not said
+    /// that they know that: the next life at this address needs their word.
     fn ask_whether_counted(&mut self) {
-        let not = self.not_counted_by();
+        let asked = |p: &Peer| if self.open { p.reachable && !p.knew } else { p.counts != self.digest };
+        let not: Vec<SocketAddr> = self.peers.iter().filter(|(_, p)| asked(p)).map(|(a, _)| *a).collect();
         let some = not.len().min(ASKED);
         for i in 0..some {
             let to = not[(self.next_asked + i) % not.len()];
@@ -498,7 +553,7 @@
             if let Some(peer) = self.peers.get_mut(&head.from) {
                 let known = peer.wants.contains_key(&item.limit);
                 if !head.answer && (known || peer.wants.len() < LIMITS_MOST) {
-                    peer.wants.insert(item.limit, (item.want.min(WHOLE), now));
+                    peer.wants.insert(item.limit, (item.want.min(WHOLE), item.unit.max(1), now));
                 }
             }
         }
@@ -551,9 +606,22 @@
             let Some(broker) = self.broker(id, sharers) else { continue };
             let home = self.home(sharers);
             let Some(l) = self.limits.get_mut(&id) else { continue };
-            // A little stays here: the first requests after a lull do not wait for a word.
-            let keep = l.wanted.max(l.used).max(home / 8).saturating_add(home / 16);
-            let spare = home.saturating_sub(keep);
+            // Where a home is less than a request it is of use only together with others': all of it goes to the broker,
+            // which gives whole requests. Else what is needed stays, and one request for the first that comes.
+            let needs = l.needs(self.now);
+            // Taking a home back costs it a window, so that is done once, and late.
+            l.pooled = home < l.unit || l.pooled && home < APART * l.unit;
+            let (keep, want) = match !l.pooled {
+                true => (needs.max(l.unit).min(home), needs.saturating_sub(home)),
+                false => (0, needs),
+            };
+            let (mut spare, unit) = (home - keep, l.unit);
+            // What is lent stays lent as long as it is not needed; more is lent when it is worth the words.
+            let lent =
+                self.peers.get(&broker).map_or(0, |p| l.book.lent_to(&Holder(broker, p.life), self.now));
+            if spare > lent && spare - lent < home / 16 {
+                spare = lent;
+            }
             let Some(peer) = self.peers.get(&broker) else { continue };
             let to = Holder(broker, peer.life);
             let mut gifts = Vec::new();
@@ -562,8 +630,7 @@
                 gifts = l.book.give(self.now, to, spare, terms.lease, home, l.used, &terms, &mut self.lot);
                 self.counts.given += gifts.len() as u64;
             }
-            let want = keep.saturating_sub(home);
-            words.entry(broker).or_default().push(Item { limit: id, want, gifts });
+            words.entry(broker).or_default().push(Item { limit: id, want, unit, gifts });
         }
         for (to, items) in words {
             for some in items.chunks(ITEMS_MOST) {
@@ -572,45 +639,65 @@
         }
     }
 
-    /// What one who asks gets of a limit, if it is asked for here as well: all who want more than they have are given as
-    /// much as each other, as far as there is.
+    /// What one who asks gets of a limit, if it is asked for here as well.
     fn serve(&mut self, to: Holder, item: &Item) -> Option<Item> {
-        let terms = self.setup.terms;
+        let (now, terms) = (self.now, self.setup.terms);
         let sharers = self.limits.get(&item.limit)?.sharers;
-        let asks = |p: &Peer| {
-            let (want, since) = *p.wants.get(&item.limit)?;
-            (self.now < since + WANTED * terms.turn && (sharers != Sharers::Zone || p.here)).then_some(want)
-        };
-        let wants: Vec<u32> = self.peers.values().filter_map(asks).collect();
-        let own = self.peers.get(&to.0).and_then(asks)?;
         let home = self.home(sharers);
         let l = self.limits.get_mut(&item.limit)?;
-        let lent = self.peers.iter().map(|(a, p)| l.book.lent_to(&Holder(*a, p.life), self.now));
-        let lent: u32 = lent.fold(0, u32::saturating_add);
-        let mine = l.wanted.max(l.used).max(home / 8);
-        // Each of them has a home as well: the level is that of all that each has.
-        let homes = home.saturating_mul(wants.len() as u32);
-        let all = l.book.has(self.now, home, &terms).saturating_add(lent).saturating_add(homes);
-        let level = level(wants.iter().map(|w| w.saturating_add(home)).chain([mine]), all);
-        let target = own.min(level.saturating_sub(home));
+        let mut asks: Vec<Ask> = Vec::new();
+        for (addr, p) in &self.peers {
+            let Some((want, unit, since)) = p.wants.get(&item.limit).copied() else { continue };
+            let fresh = now < since + WANTED * terms.turn && (sharers != Sharers::Zone || p.here);
+            let has = l.book.lent_to(&Holder(*addr, p.life), now);
+            if fresh && want > 0 || has > 0 {
+                let draw = xxh3_64_with_seed(addr.to_string().as_bytes(), item.limit);
+                asks.push(Ask { of: *addr, want: if fresh { want } else { 0 }, unit, has, draw });
+            }
+        }
+        // What they have stays theirs as long as they want it: parts that change hands rest for a window. Only what is
+        // wanted here of the own home is asked back.
+        let needs = l.needs(now);
+        let most = home.saturating_sub(needs).saturating_add(l.book.held(now));
+        let lent = asks.iter().fold(0u32, |sum, a| sum.saturating_add(a.has));
+        let free = l.book.has(now, home, &terms).saturating_sub(needs).min(most.saturating_sub(lent));
+        let target = share_out(free, most, &mut asks).get(&to.0).copied().unwrap_or(0);
         let used = l.used;
-        let gifts = l.book.give(self.now, to, target, terms.onward, home, used, &terms, &mut self.lot);
+        let gifts = l.book.give(now, to, target, terms.onward, home, used, &terms, &mut self.lot);
         self.counts.given += gifts.len() as u64;
-        Some(Item { limit: item.limit, want: 0, gifts })
+        Some(Item { limit: item.limit, want: 0, unit: l.unit, gifts })
     }
 }
 
-/// The level up to which all wants can be met out of so much: who wants less gets what he wants.
-fn level(wants: impl Iterator<Item = u32>, all: u32) -> u32 {
-    let mut wants: Vec<u32> = wants.collect();
-    wants.sort_unstable();
-    let (mut left, mut more) = (all, wants.len() as u32);
-    for want in wants {
-        let even = left / more.max(1);
-        if want > even {
-            return even;
+/// What one router wants of a limit, in steps of a request, and what it has of it from here.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    of: SocketAddr,
+    want: u32,
+    unit: u32,
+    has: u32,
+    draw: u64,
+}
+
+/// Shares free parts out, one request to each that wants more; what they have stays as far as they want it and `most`
+/// allows all of them together.
+fn share_out(free: u32, most: u32, asks: &mut [Ask]) -> BTreeMap<SocketAddr, u32> {
+    asks.sort_by_key(|a| (a.has, a.draw, a.of));
+    let mut given: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+    let mut room = most;
+    for a in asks.iter() {
+        let stays = a.has.min(a.want).min(room);
+        room -= stays;
+        given.insert(a.of, stays);
+    }
+    // A quarter of what is free for each, in whole requests, and more the next time: whoever asks first must not have all.
+    let mut left = free;
+    for a in asks.iter() {
+        let has = given.entry(a.of).or_default();
+        let more = (free / 4).min(a.want.saturating_sub(*has)).max(a.unit) / a.unit * a.unit;
+        if *has < a.want && left >= more {
+            (*has, left) = (*has + more, left - more);
         }
-        (left, more) = (left - want, more - 1);
     }
-    WHOLE
+    given
 }
--- a/crates/hollymux/src/fleet.rs
+++ b/crates/hollymux/src/fleet.rs
@@ -18,14 +18,26 @@
     #[arg(long, value_name = "ADDRESS")]
     door: SocketAddr,
     /// Print what the router says, as JSON
-    #[arg(long)]
+    #[arg(long, global = true)]
     json: bool,
+    #[command(subcommand)]
+    of: Option<Of>,
+}
+
+#[derive(clap::Subcommand)]
+enum Of {
+    /// What cold servers bear, who holds which part of it, and the bounds
+    Limits,
 }
 
 pub fn run(options: &Options) -> Result<(), Fail> {
-    let body = get(options.door, "/status/fleet").map_err(Fail::ran)?;
+    let (path, shown): (&str, fn(&Value) -> String) = match options.of {
+        None => ("/status/fleet", table),
+        Some(Of::Limits) => ("/status/fleet/limits", limits),
+    };
+    let body = get(options.door, path).map_err(Fail::ran)?;
     let status: Value = serde_json::from_str(&body).map_err(Fail::ran)?;
-    put(&if options.json { body + "\n" } else { table(&status) })
+    put(&if options.json { body + "\n" } else { shown(&status) })
 }
 
 /// Calls a router's door.
@@ -43,7 +55,7 @@
     let body = String::from_utf8_lossy(&bytes[head..]).into_owned();
     match answer.code {
         Some(200) => Ok(body),
-        Some(404) => Err(format!("{door}: this router keeps no view of a fleet (its section fleet is off)")),
+        Some(404) => Err(format!("{door}: {}", body.trim())),
         code => Err(format!("{door}: {}", code.unwrap_or(0))),
     }
 }
@@ -86,12 +98,99 @@
         .collect();
     let heads =
         ["router", "address", "office", "state", "for s", "answered s ago", "agrees"].map(str::to_string);
-    let wide = |i: usize| rows.iter().chain([&heads]).map(|r| r[i].chars().count()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..heads.len()).map(wide).collect();
-    for row in [&heads].into_iter().chain(&rows) {
+    text + &columns(&heads, &rows)
+}
+
+/// Rows under their heads, each column as wide as it must be.
+fn columns<const N: usize>(heads: &[String; N], rows: &[[String; N]]) -> String {
+    let mut text = String::new();
+    let wide = |i: usize| rows.iter().chain([heads]).map(|r| r[i].chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..N).map(wide).collect();
+    for row in [heads].into_iter().chain(rows) {
         let line: Vec<String> = row.iter().zip(&widths).map(|(w, n)| format!("{w:<n$}")).collect();
         // A String takes whatever is written to it.
         let _written = writeln!(text, "{}", line.join("  ").trim_end());
     }
     text
 }
+
+/// Limits, their bounds, and who holds what.
+fn limits(status: &Value) -> String {
+    let number = |v: &Value| v.as_f64().unwrap_or(0.0);
+    let bounds = &status["bounds"];
+    let share = match status["share_in_use"].as_bool() == Some(true) {
+        true => "this router's own share is in use".to_string(),
+        false => {
+            let not: Vec<String> =
+                status["not_counted_by"].as_array().into_iter().flatten().map(Value::to_string).collect();
+            format!("this router has NO share of its own: not counted yet by {}", not.join(", "))
+        }
+    };
+    let mut text = format!(
+        "{share}; the whole is divided by {}, here by {}\n\n",
+        status["divided_by"], status["divided_here_by"]
+    );
+    let back = format!(
+        "{:.1} s; a lost router's share when it starts anew or has left",
+        number(&bounds["lots_back_after_s"])
+    );
+    let whole = format!(
+        "the whole; 1/{} more for each router beyond the configured number that starts cut off from all",
+        status["divided_by"]
+    );
+    let heads = [
+        "limit",
+        "protects",
+        "granted by",
+        "lease",
+        "sum, links well",
+        "sum, links failed",
+        "cut off",
+        "back after",
+    ];
+    let cold = |name: &str, who: &str| {
+        [
+            name,
+            "a server that has just started",
+            who,
+            &format!("{:.1} s, passed on {:.1} s", number(&bounds["lease_s"]), number(&bounds["onward_s"])),
+            "the whole",
+            &whole,
+            "own share; nothing just after a start",
+            &back,
+        ]
+        .map(str::to_string)
+    };
+    let own = |name: &str, protects: &str, sum: &str| {
+        [name, protects, "itself", "none", sum, sum, "as before", "-"].map(str::to_string)
+    };
+    let rows = [
+        cold("cold hub", "all routers"),
+        cold("cold box", "the office's routers"),
+        own("cold box of another office", "a server that has just started", "not used while cold"),
+        own("further attempts", "the fleet from retries", "a half of all first tries, and 40 a router"),
+        own("fills at a warm hub", "a hub's link", "no bound: by own load and the number of routers"),
+        own("probes and trials", "a server that is out", "no bound: each router its own"),
+    ];
+    text += &columns(&heads.map(str::to_string), &rows);
+    text += "\n";
+    let part = |v: &Value| format!("{:.3}", number(v));
+    let none = Vec::new();
+    let rows: Vec<[String; 9]> = status["limits"]
+        .as_array()
+        .unwrap_or(&none)
+        .iter()
+        .map(|l| {
+            let word = |k: &str| l[k].as_str().unwrap_or("-").to_string();
+            let server = l["server"].as_str().map_or(word("limit"), str::to_string);
+            let parts = ["share", "held", "lent", "may_use", "used", "wanted"].map(|k| part(&l[k]));
+            let [share, held, lent, may, used, wanted] = parts;
+            [server, word("shared_by"), share, held, lent, may, used, wanted, word("broker")]
+        })
+        .collect();
+    if rows.is_empty() {
+        return text + "no server is cold\n";
+    }
+    let heads = ["server", "shared by", "share", "held", "lent", "may use", "used", "wanted", "broker"];
+    text + &columns(&heads.map(str::to_string), &rows)
+}
--- a/crates/hollymux/src/lab.rs
+++ b/crates/hollymux/src/lab.rs
@@ -5,7 +5,7 @@
 use hollymux_lab::platform::Seat;
 use hollymux_lab::report::report;
 use hollymux_lab::virtually::Heard;
-use hollymux_lab::{measure, sockets, virtually};
+use hollymux_lab::{measure, sockets, sweep, virtually};
 use hollymux_record::{End, Head, Reason, Recorder, Request, Sink};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -22,6 +22,29 @@
     Schema,
     /// Measure the view that routers keep of their fleet, in virtual time
     Fleet(FleetTable),
+    /// Play a matrix of outages in virtual time, side by side on all cores
+    Sweep(SweepFile),
+}
+
+#[derive(clap::Args)]
+pub struct SweepFile {
+    /// The combinations (JSON5)
+    #[arg(value_name = "FILE")]
+    file: PathBuf,
+    /// Print every day's row as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+fn sweep_days(options: &SweepFile) -> Result<(), Fail> {
+    let file: sweep::Sweep = hollymux_settings::load(&options.file).map_err(Fail::Unusable)?;
+    let rows = sweep::sweep(&file).map_err(Fail::ran)?;
+    let json = || serde_json::to_string_pretty(&rows).unwrap_or_default() + "\n";
+    put(&if options.json { json() } else { sweep::text(&rows) })?;
+    match rows.iter().all(|r| r.broken.is_empty()) {
+        true => Ok(()),
+        false => Err(Fail::ran("rules were broken")),
+    }
 }
 
 #[derive(clap::Args)]
@@ -83,6 +106,7 @@
     let options = match command {
         Command::Schema => return put(&(hollymux_settings::schema::<Day>() + "\n")),
         Command::Fleet(options) => return fleet_table(&options),
+        Command::Sweep(options) => return sweep_days(&options),
         Command::Run(options) => options,
     };
     let day: Day = hollymux_settings::load(&options.day).map_err(Fail::Unusable)?;
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -48,6 +48,13 @@
     /// Routers know each other. Default: they do not.
     #[serde(default)]
     pub fleet: bool,
+    /// What cold servers bear is shared by parts on lease; only where routers know each other. Default: evenly.
+    #[serde(default)]
+    pub limits: bool,
+    /// The first router of each office, and every fourth after it, is asked so many times as often as the others.
+    /// Default: 1.
+    #[serde(default = "unit")]
+    pub uneven: f64,
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -428,6 +435,8 @@
             "purges_per_s",
             "must lie between 0 and 100",
         );
+        faults.unless(self.fleet || !self.limits, "limits", "needs fleet");
+        faults.unless((1.0..=100.0).contains(&self.uneven), "uneven", "must lie between 1 and 100");
         let lag = (0.0..=60_000.0).contains(&self.roster_lag_ms);
         faults.unless(lag, "roster_lag_ms", "must lie between 0 and 60000");
         faults.unless(!self.offices.is_empty(), "offices", "there is none");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod relay;
 pub mod report;
 pub mod sockets;
+pub mod sweep;
 pub mod together;
 pub mod virtually;
 pub mod world;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -3,7 +3,7 @@
 use crate::day::Day;
 use crate::load::{Done, Got};
 use crate::together::FleetReport;
-use crate::world::{Broken, World};
+use crate::world::{Broken, ColdUse, World};
 use hdrhistogram::Histogram;
 use hollymux_decide::{Time, SEC};
 use plotters::prelude::*;
@@ -20,6 +20,17 @@
     pub answers_wrong: u64,
     /// What the fleet's view came to, where routers know each other.
     pub fleet: Option<FleetReport>,
+    /// What all routers together counted against what cold boxes, and cold hubs, bear; in virtual time.
+    pub accounts: [Account; 2],
+}
+
+/// Parts of a limit that all routers together had used within a window, by their own accounts, four looks a second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Account {
+    /// The most.
+    pub worst: f64,
+    /// Added up over so many looks at which more was wanted than there is.
+    pub used: (f64, u64),
 }
 
 /// Figures of one class.
@@ -76,6 +87,8 @@
     pub broken: BTreeMap<String, u64>,
     /// Cold servers that fell over before routers were told of their start.
     pub fell_untold: u64,
+    /// How much of what cold servers bear was used, by kind of server.
+    pub limits: BTreeMap<String, LimitReport>,
     /// What the fleet's view came to; none where routers don't know each other.
     pub fleet: Option<FleetReport>,
     /// Worth served and asked for in each second of the day.
@@ -143,11 +156,38 @@
         turned_away: world.turned_away(),
         broken,
         fell_untold: world.fell_untold,
+        limits: limits(world, &counted.accounts),
         fleet: counted.fleet,
         seconds,
     }
 }
 
+/// What all routers together sent to cold servers within a window, as parts of what they may.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct LimitReport {
+    /// The whole.
+    pub bound: f64,
+    /// The most in any window by the routers' accounts, once all of them know that the server is cold; they count a
+    /// class's mean work, waits included.
+    pub worst: f64,
+    /// On average while more was wanted than there is; none on sockets, or if it never was.
+    pub used_mean: Option<f64>,
+    /// The most that came to such a server, by its size, and on average while it was cold; none: none was.
+    pub came_worst: f64,
+    /// See `came_worst`.
+    pub came_mean: Option<f64>,
+}
+
+fn limits(world: &World, accounts: &[Account; 2]) -> BTreeMap<String, LimitReport> {
+    let mean = |sum: (f64, u64)| (sum.1 > 0).then(|| sum.0 / sum.1 as f64);
+    let one = |(name, (came, counted)): (&str, (&ColdUse, &Account))| {
+        let (used_mean, came_mean) = (mean(counted.used), mean(came.used));
+        let worst = counted.worst;
+        (name.to_string(), LimitReport { bound: 1.0, worst, used_mean, came_worst: came.worst, came_mean })
+    };
+    ["cold box", "cold hub"].into_iter().zip(world.cold_use.iter().zip(accounts)).map(one).collect()
+}
+
 fn rules(broken: &Broken) -> BTreeMap<String, u64> {
     broken.iter().map(|(rule, n)| ((*rule).to_string(), *n)).collect()
 }
@@ -220,6 +260,16 @@
                 f.false_lost, f.missed_lost, f.bytes_per_router_s
             );
         }
+        for (name, l) in self.limits.iter().filter(|(_, l)| l.came_mean.is_some()) {
+            let used = l.used_mean.map_or("-".into(), |u| format!("{u:.2}"));
+            let _fits = writeln!(
+                t,
+                "{name}: of what all routers may send {used} was used while more was wanted, {:.2} at most; {:.2} came, {:.2} at most",
+                l.worst,
+                l.came_mean.unwrap_or(0.0),
+                l.came_worst
+            );
+        }
         if self.fell_untold > 0 {
             let _fits =
                 writeln!(t, "cold servers that fell before their start was told: {}", self.fell_untold);
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -302,6 +302,9 @@
             let seeds: Vec<String> = relay.addrs.iter().take(3).map(SocketAddr::to_string).collect();
             fleet = serde_json::json!({"name": "lab", "listen": "127.0.0.1:0", "seeds": seeds,
                                        "advertise": relay.addrs[number].to_string()});
+            if self.day.limits {
+                fleet["limits"] = serde_json::json!({});
+            }
         }
         let node = spawn(&self.start, number, &text.to_string(), fleet, self.said.clone())?;
         if let (Some(relay), Some(heard)) = (&self.relay, node.heard) {
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -12,7 +12,8 @@
 use hollymux_core::{
     AttemptId, Client, Command, Ended, Input, Lost, Member, Order, Reply, Router, Said, Told, Wake,
 };
-use hollymux_decide::{HostId, Time, MS, SEC};
+use hollymux_decide::{HostId, Sharers, Time, MS, SEC};
+use hollymux_fleet::limits::Terms;
 use hollymux_fleet::view::{Change, Rank};
 use hollymux_node::config::Config;
 use std::cmp::Reverse;
@@ -23,6 +24,8 @@
 const WAY: Time = 300;
 /// A connection that nothing answers is given up after this.
 const DIAL: Time = 400 * MS;
+/// From one look at the accounts of limits to the next.
+const LOOK: Time = 250 * MS;
 /// When a day in virtual time starts, in microseconds of Unix time.
 pub const START: Time = 1_760_000_000 * SEC;
 /// Buffers of a router, as many as a small machine's.
@@ -103,6 +106,9 @@
     gave_up: BTreeSet<u64>,
     watch: Watch,
     counted: Counted,
+    /// When accounts of limits are looked at next, and since when all who share a cold server know that it is.
+    look: Time,
+    known: BTreeMap<HostId, Time>,
     ended: &'a mut dyn FnMut(Seat, &Heard<'_>),
 }
 
@@ -182,6 +188,8 @@
         gave_up: BTreeSet::new(),
         watch: Watch::default(),
         counted: Counted::default(),
+        look: START,
+        known: BTreeMap::new(),
         ended,
     };
     lab.begin_fleet();
@@ -227,6 +235,45 @@
                 }
             }
             self.settle();
+            self.look_at_accounts();
+        }
+    }
+
+    /// Adds up what all routers have used of what cold servers bear.
+    fn look_at_accounts(&mut self) {
+        if self.now < self.look {
+            return;
+        }
+        self.look = self.now + LOOK;
+        // Kind, used, wanted, and how many who share it do not know yet that it is cold.
+        let mut sums: BTreeMap<HostId, (usize, f64, f64, i64)> = BTreeMap::new();
+        for (seat, router) in self.seats.iter().zip(&self.routers) {
+            for d in router.cold_demands(self.now).into_iter().filter(|d| d.sharers != Sharers::Elsewhere) {
+                let all = d.sharers == Sharers::All;
+                let runs = |s: &&Seat| {
+                    (all || s.office == seat.office) && !matches!(self.stands[s.number], Process::Dead)
+                };
+                let sum = sums.entry(d.host).or_insert_with(|| {
+                    (usize::from(all), 0.0, 0.0, self.seats.iter().filter(runs).count() as i64)
+                });
+                (sum.1, sum.2, sum.3) = (sum.1 + d.used, sum.2 + d.wanted, sum.3 - 1);
+            }
+        }
+        self.known.retain(|host, _| sums.contains_key(host));
+        for (host, (kind, used, wanted, unaware)) in sums {
+            if unaware > 0 {
+                self.known.remove(&host);
+                continue;
+            }
+            // What was sent before all knew broke no limit, and counts for a window.
+            let since = *self.known.entry(host).or_insert(self.now);
+            let account = &mut self.counted.accounts[kind];
+            if self.now >= since + crate::world::PUSHED {
+                account.worst = account.worst.max(used);
+            }
+            if wanted >= 1.0 {
+                account.used = (account.used.0 + used, account.used.1 + 1);
+            }
         }
     }
 
@@ -284,6 +331,11 @@
         for seat in self.seats.iter().filter(|_| self.day.fleet) {
             if let Some(fleet) = &mut self.fleet {
                 fleet.place(seat.number, &self.day.offices[seat.office].name);
+                let s = &self.configs[seat.number].settings;
+                let here = s.dispatchers_by_zone.get(usize::from(s.zone)).copied().unwrap_or(0);
+                fleet.configure(seat.number, s.dispatchers, here);
+                let window = s.fall_after;
+                fleet.lease = self.day.limits.then(|| Terms { window, ..Terms::default() });
                 fleet.start(seat.number);
             }
         }
@@ -299,6 +351,12 @@
     fn advance_fleet(&mut self) {
         let Some(mut fleet) = self.fleet.take() else { return };
         let now_s = (self.now - START) as f64 / 1e6;
+        if self.day.limits && fleet.due().is_some_and(|due| due - BEGIN + START <= self.now) {
+            let runs = |r: &usize| matches!(self.stands[*r], Process::Runs);
+            for r in (0..self.routers.len()).filter(runs) {
+                fleet.demand(r, self.routers[r].cold_demands(self.now));
+            }
+        }
         fleet.run((self.now - START + BEGIN).saturating_sub(fleet.now));
         for (_, by, change) in std::mem::take(&mut fleet.told) {
             if let Change::Router(of, _, r) = &change {
@@ -311,6 +369,16 @@
                 self.routers[by].count_routers(all, here);
             }
         }
+        for r in std::mem::take(&mut fleet.touched) {
+            if let Some(limits) = fleet.limits(r).filter(|_| matches!(self.stands[r], Process::Runs)) {
+                // The cores' clock is ahead of the views'.
+                let (homes, mut parts) = limits.use_at(fleet.now);
+                for part in parts.values_mut().filter(|p| p.until != Time::MAX) {
+                    part.until = part.until - BEGIN + START;
+                }
+                self.routers[r].lease(homes, parts);
+            }
+        }
         if self.watch.agreed.is_none() && now_s > quiet_from(&self.day) && fleet.same(&fleet.up()) {
             self.watch.agreed = Some(now_s);
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -207,6 +207,19 @@
     Fetch(u64),
 }
 
+/// Work that reaches cold servers within a window, as a part of what all routers together may send: [`COLD_USE`] times
+/// what the server does at that moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdUse {
+    /// The most.
+    pub worst: f64,
+    /// Added up over so many looks, four a second at each that is cold.
+    pub used: (f64, u64),
+}
+
+/// What routers together send to a cold server, as a multiple of what it does (docs/design.md).
+const COLD_USE: f64 = 1.2;
+
 /// Rules that the world saw broken, by name.
 pub type Broken = BTreeMap<&'static str, u64>;
 
@@ -265,6 +278,8 @@
     pub broken: Broken,
     /// Cold servers that fell before routers were told of their start: no rule is broken by what nobody knew.
     pub fell_untold: u64,
+    /// Joint work at cold boxes, and at cold hubs.
+    pub cold_use: [ColdUse; 2],
     /// Calls of the library in all.
     pub fetched: u64,
     base: Vec<(f64, f64)>,
@@ -346,6 +361,7 @@
             news: Vec::new(),
             broken: Broken::new(),
             fell_untold: 0,
+            cold_use: Default::default(),
             fetched: 0,
             base: vec![(0.0, 0.0); pipes],
             counted_from: start,
@@ -948,6 +964,9 @@
         }
         let lately: f64 = e.pushed.iter().map(|p| p.1).sum();
         let bears = multiple * share * e.rate * PUSHED as f64 / 1e6;
+        let budget = COLD_USE * share * e.rate * PUSHED as f64 / 1e6;
+        let use_of = &mut self.cold_use[usize::from(matches!(self.servers[server].kind, Kind::Hub(_)))];
+        use_of.worst = use_of.worst.max(lately / budget);
         // A single request is no overload.
         if lately > bears + 2.0 * bytes {
             let told_at = self.told.get(&server).copied().unwrap_or(Time::MAX);
@@ -1014,10 +1033,21 @@
         e.out.set(now, e.rate * e.slow * share);
         self.schedule(server);
         if share < 1.0 {
+            self.look_at_cold(server, share);
             self.at(self.now + 250 * MS, Event::Warm(server));
         }
     }
 
+    /// Notes how much of what it bears a cold server is asked for.
+    fn look_at_cold(&mut self, server: usize, share: f64) {
+        let (now, e) = (self.now, &self.engines[server]);
+        let lately: f64 = e.pushed.iter().filter(|p| p.0 + PUSHED >= now).map(|p| p.1).sum();
+        let budget = COLD_USE * share * e.rate * PUSHED as f64 / 1e6;
+        let hub = matches!(self.servers[server].kind, Kind::Hub(_));
+        let used = &mut self.cold_use[usize::from(hub)].used;
+        (used.0, used.1) = (used.0 + lately / budget, used.1 + 1);
+    }
+
     fn server(&self, name: &str) -> Option<usize> {
         self.servers.iter().position(|s| s.name == name)
     }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -3,6 +3,7 @@
 
 use hollymux_lab::day::Day;
 use hollymux_lab::report::{report, Report};
+use hollymux_lab::sweep::{sweep, Sweep};
 use hollymux_lab::virtually::play;
 use hollymux_settings::Fault;
 
@@ -144,3 +145,27 @@
         ]
     );
 }
+
+/// A small part of the matrix of `examples/fleet/outages.json5`: what is lost, by how many routers, even and uneven.
+#[test]
+fn no_rule_is_broken_in_a_part_of_the_matrix_of_outages() {
+    let text = r#"{
+        day: { seconds: 34, warm_s: 6, rate_per_s: 150,
+          offices: [{ name: "cairo", hub: "north-hub", boxes: 6, link_in_flows: 40 },
+                    { name: "luxor", hub: "south-hub", boxes: 4, link_in_flows: 25 }],
+          hubs: [{ name: "north-hub", link_flows: 30 }, { name: "south-hub", link_flows: 30 }] },
+        at_s: 10, lost: ["hub", "hubs", "half_office", "office", "library", "replaced"], for_s: [3], loads: [1, 3],
+        routers: [3, 28], uneven: [3], news_ms: [1000] }"#;
+    let file: Sweep = hollymux_settings::read(text).expect("a sweep");
+    let rows = sweep(&file).expect("its days are played");
+    assert_eq!(rows.len(), 24);
+    for r in &rows {
+        assert!(r.broken.is_empty(), "{r:?}");
+    }
+    // What was lost shows, and is served again.
+    assert!(
+        rows.iter().any(|r| r.served_worth < 0.9) && rows.iter().filter(|r| r.back_s.is_some()).count() > 12
+    );
+    let table = hollymux_lab::sweep::text(&rows);
+    assert_eq!(table.lines().count(), 2 + 12, "{table}");
+}
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -86,17 +86,7 @@
     /// Tells the limits who may be at work.
     fn tell_limits(&mut self, now: Time) {
         let Some(limits) = &mut self.limits else { return };
-        let zone = &self.view.own().1.zone;
-        let deaf = self.view.deaf();
-        let others = self.view.others().filter(|s| s.record.rank != Rank::Left);
-        let members: Vec<limits::Member> = others
-            .map(|s| limits::Member {
-                addr: s.addr,
-                here: s.record.zone == *zone,
-                reachable: s.record.rank <= Rank::Suspect && !deaf,
-            })
-            .collect();
-        let beyond = self.view.at_work(None).saturating_sub(members.len() as u32 + 1);
+        let (members, beyond) = limits::members(&self.view);
         limits.members(now, members, beyond);
     }
 }
@@ -221,10 +211,8 @@
                 false => info!("limits: this router has no share of its own any more"),
             }
         }
-        let home = |among: u32| if open { 1.0 / f64::from(among) } else { 0.0 };
-        let part = |s: &Standing| (HostId(s.limit), limits.part(self.now, s.limit, s.sharers));
-        let parts = limits.standings().iter().map(part).collect();
-        self.router.lease((home(all), home(here)), parts);
+        let (homes, parts) = limits.use_at(self.now);
+        self.router.lease(homes, parts);
         self.leased = true;
     }
 
--- a/crates/wire/src/operations.rs
+++ b/crates/wire/src/operations.rs
@@ -130,7 +130,7 @@
         "/active" => Call::Active,
         _ => return Err(wrong(404)),
     };
-    let reads = matches!(call, Call::Status | Call::Metrics | Call::Fleet);
+    let reads = matches!(call, Call::Status | Call::Metrics | Call::Fleet | Call::Limits);
     match method {
         "GET" | "HEAD" if reads => Ok(Asked { call, head_only: method == "HEAD" }),
         "PUT" if !reads => Ok(Asked { call, head_only: false }),
