--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -263,7 +263,7 @@
         self.ask_dead(now, acts);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVE);
         if let Some(w) = self.settings.told_work(&r) {
-            self.learnt[class].learn(w, LEARN);
+            self.learnt[class].learn_told(w, LEARN);
         }
         let token = u64::from(id) << 16 | DEADLINE;
         acts.push(Action::timer(r.deadline.saturating_sub(now), token));
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -164,8 +164,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Learnt {
     pub(crate) work: f64,
-    /// What it was learnt from.
+    /// What it was learnt from; and whether from sizes that were told.
     pub(crate) samples: f64,
+    pub(crate) told: bool,
     /// Mean sending time of the bytes that came. What may be sent to cold hosts goes by `work` all the same: that
     /// holds the waits as well, so it errs on their side, while few answers miss most of a class's large objects.
     pub(crate) sent: Option<f64>,
@@ -175,7 +176,7 @@
 impl Learnt {
     /// Before anything is seen a class's work is held to be what its aim leaves room for.
     pub(crate) fn new(class: &Class) -> Learnt {
-        Learnt { work: secs(class.aim), samples: 0.0, sent: None, slow: 1.5 }
+        Learnt { work: secs(class.aim), samples: 0.0, told: false, sent: None, slow: 1.5 }
     }
 
     /// The same under a class whose aim is another: where sizes are not told, latencies are measured by it.
@@ -184,10 +185,17 @@
         Learnt { slow: (self.slow * scale).clamp(0.2, 20.0), ..self.clone() }
     }
 
-    /// What a request of the class is held to cost a cold host: no less than its bytes. The mean that holds the waits is
-    /// the smaller one where the crowd at a host is taken for larger than it is, as not all that is in hand there is sent.
+    /// What a request of the class is held to cost a cold host: where sizes are not told no less than its bytes. The mean
+    /// that holds the waits is the smaller one where the crowd at a host is taken for larger than it is, as not all that is
+    /// in hand there is sent.
     pub(crate) fn mean(&self) -> f64 {
-        self.work.max(self.sent.unwrap_or(0.0))
+        self.work.max(self.sent.filter(|_| !self.told).unwrap_or(0.0))
+    }
+
+    /// Learns from a size that was told.
+    pub(crate) fn learn_told(&mut self, work: f64, last: f64) {
+        self.told = true;
+        self.learn(work, last);
     }
 
     /// The mean of the first samples, then of about the last so many.
