Take word of an earlier share only from one whose own is in use and who counts the same

A restarted router had its share back as soon as anybody said that an earlier life of it had one. If that one had just started himself and knew few of the others, the restarted one divided by too few: five of seven running, two restarted on the other side of a cut, configured for one: 1.36 of the whole in a window. The word now counts only from a router whose own share is in use, who by that counts all others whose are, and only if both hold the same routers to be at work.

--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -122,6 +122,8 @@
     /// It, or an earlier life of it, used a share of its own; and it says the same of this router.
     open: bool,
     knew: bool,
+    /// The life that spoke last uses a share.
+    uses: bool,
 }
 
 /// A limit that is in use here.
@@ -290,6 +292,7 @@
                 wants: BTreeMap::new(),
                 open: false,
                 knew: false,
+                uses: false,
             });
             (peer.here, peer.reachable) = (m.here, m.reachable);
         }
@@ -488,7 +491,9 @@
             return;
         }
         let counted = self.peers.values().all(|p| p.counts == self.digest);
-        let before = self.peers.values().any(|p| p.knew);
+        // The word of one whose own share is in use, and who holds the same routers to be at work: he counts all whose
+        // shares are in use, so that this one does as well.
+        let before = self.peers.values().any(|p| p.knew && p.uses && p.counts == self.digest);
         self.open = counted || before;
     }
 
@@ -543,6 +548,7 @@
         }
         peer.stamp = peer.stamp.max(head.stamp);
         peer.open |= head.open;
+        peer.uses = head.open;
         peer.counts = head.counts;
         peer.knew |= head.knew;
         let from = Holder(head.from, head.start);
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -45,6 +45,8 @@
     late: Time,
     flying: BTreeMap<(Time, u64), (usize, usize, Vec<u8>)>,
     seq: u64,
+    /// Nobody is told whom others know.
+    quiet: bool,
     /// Those whose last word was that they leave.
     left: BTreeSet<usize>,
     /// Use of everybody, by true time.
@@ -80,6 +82,7 @@
             late: 0,
             flying: BTreeMap::new(),
             seq: 0,
+            quiet: false,
             left: BTreeSet::new(),
             all: VecDeque::new(),
             worst: 0.0,
@@ -137,7 +140,12 @@
         let n = self.routers.len();
         let (a, b) = ((self.rng.next_u64() % n as u64) as usize, (self.rng.next_u64() % n as u64) as usize);
         let live = |r: &Router| r.limits.is_some() && !r.paused;
-        if a == b || self.cut.contains(&(a, b)) || !live(&self.routers[a]) || !live(&self.routers[b]) {
+        if a == b
+            || self.quiet
+            || self.cut.contains(&(a, b))
+            || !live(&self.routers[a])
+            || !live(&self.routers[b])
+        {
             return;
         }
         // Who left in words stays away until he starts again; who is lost is told on.
@@ -374,6 +382,32 @@
     assert!(mean >= 0.7, "{mean} of the whole was used on average");
 }
 
+/// Guards against a restarted router that takes its share back on the word of one who has just started himself, and who
+/// knows as little as it does who else is at work.
+#[test]
+fn word_of_an_earlier_share_counts_only_from_one_who_counts_everybody() {
+    let mut w = World::new(7, 1, 8);
+    (0..7).for_each(|r| w.start(r));
+    w.run(15 * SEC);
+    assert_eq!(w.open(), 7);
+    w.part(&[1, 2]);
+    w.quiet = true;
+    for r in [2, 1] {
+        w.kill(r);
+        w.start(r);
+        w.routers[r].knows.extend([0, 1, 2]);
+        w.run(2 * SEC);
+    }
+    w.run(10 * SEC);
+    w.never_more_than_the_whole();
+    assert_eq!(w.open(), 5);
+    w.cut.clear();
+    w.quiet = false;
+    w.run(15 * SEC);
+    w.never_more_than_the_whole();
+    assert_eq!(w.open(), 7);
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Kill(usize),
