--- a/crates/fleet/src/limits/book.rs
+++ b/crates/fleet/src/limits/book.rs
@@ -124,8 +124,15 @@
         let until = now + terms.held_back(long);
         let mut gifts = Vec::new();
         let mut total = 0;
-        let live: Vec<u64> =
+        let mut live: Vec<u64> =
             self.lent.iter().filter(|(_, l)| l.to == to && l.until > now).map(|(lot, _)| *lot).collect();
+        // As many lots as a word holds, and more is wanted: the smallest one ends, to make room for a larger one.
+        let size = |lot: &u64| self.lent.get(lot).map_or(0, |l| l.parts);
+        let more = target.saturating_sub(live.iter().map(size).sum());
+        if live.len() >= GIFTS_MOST && more >= LEAST.max(target / 16) {
+            let least = live.iter().copied().min_by_key(size);
+            live.retain(|lot| Some(*lot) != least);
+        }
         for lot in live {
             let Some(old) = self.lent.remove(&lot) else { continue };
             let parts = old.parts.min(target - total).min(self.free_until(now, until, home));
