Say once what was said twice: parts out, cold budgets, rows of a matrix, models' states

The parts that others hold were summed from the same two tables in three places of the book; the whole of a cold budget was written out in the decision module and beside it, and twice in the laboratory's world; the matrix of outages stood seven loops deep; two models compared states by the same code, two process tests began alike; whether parts are on lease was state beside the limits that tell it; what cold servers are asked for was asked anew for each datagram of one turn.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -8,6 +8,7 @@
 //! same hash, over all of them. What departs from that says so; `docs/design.md` has the list.
 
 use crate::interface::*;
+use crate::retune::cold_budget;
 use crate::state::*;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -520,7 +521,7 @@
     fn admits(&self, now: Time, h: &Host, work: f64) -> bool {
         let Some((able, multiple)) = self.cold(now, h) else { return true };
         let window = self.settings.fall_after;
-        let share = COLD_USE.min(COLD_PART * multiple) * able * secs(window) / self.divisor(now, h);
+        let share = cold_budget(able, multiple, secs(window)) / self.divisor(now, h);
         let sparse = share < self.unit() && self.fleet.leased.is_none();
         let since = if sparse { h.slot } else { now.saturating_sub(window) };
         let lately: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
--- a/crates/decide/src/retune.rs
+++ b/crates/decide/src/retune.rs
@@ -61,6 +61,12 @@
     pub(crate) parts: BTreeMap<HostId, Part>,
 }
 
+/// What all dispatchers together may send to a cold host within a window of so many seconds, in seconds of sending, by
+/// what it can do at the least and the multiple at which it falls over.
+pub(crate) fn cold_budget(able: f64, multiple: f64, window: f64) -> f64 {
+    COLD_USE.min(COLD_PART * multiple) * able * window
+}
+
 impl Control {
     /// Shares hosts with so many dispatchers more than the settings name, for as long as a process and the one that
     /// replaces it work side by side.
@@ -89,7 +95,7 @@
             let takes = |h: &&Host| h.entry.state == HostState::Ready && !h.died;
             let h = self.fleet.hosts.get(id).filter(takes)?;
             let (able, multiple) = self.cold(now, h)?;
-            let budget = (COLD_USE.min(COLD_PART * multiple) * able * window).max(1e-9);
+            let budget = cold_budget(able, multiple, window).max(1e-9);
             let since = now.saturating_sub(self.settings.fall_after).max(h.cold_since.unwrap_or(0));
             let used: f64 = h.ledger.iter().filter(|l| l.0 > since).map(|l| l.2).sum();
             let sharers = self.sharers(h);
--- a/crates/fleet/src/limits/book.rs
+++ b/crates/fleet/src/limits/book.rs
@@ -68,9 +68,12 @@
 
     /// Parts that others may use, or have used within the window before that time.
     pub(crate) fn lent(&self, at: Time, terms: &Terms) -> u32 {
-        let lots = self.lent.values().map(|l| (l.parts, l.until));
-        let out = lots.chain(self.fading.iter().copied()).filter(|l| l.1 + terms.tail() > at);
-        out.fold(0, |sum, l| sum.saturating_add(l.0))
+        self.out().filter(|l| l.1 + terms.tail() > at).fold(0, |sum, l| sum.saturating_add(l.0))
+    }
+
+    /// All that was given: how many parts, and until when they may be used.
+    fn out(&self) -> impl Iterator<Item = (u32, Time)> + '_ {
+        self.lent.values().map(|l| (l.parts, l.until)).chain(self.fading.iter().copied())
     }
 
     /// Parts that one other router may use now.
@@ -91,8 +94,7 @@
 
     /// When the next lot that was given is back.
     pub(crate) fn back(&self, now: Time, terms: &Terms) -> Option<Time> {
-        let untils = self.lent.values().map(|l| l.until).chain(self.fading.iter().map(|f| f.1));
-        untils.map(|u| u + terms.tail()).filter(|b| *b > now).min()
+        self.out().map(|l| l.1 + terms.tail()).filter(|b| *b > now).min()
     }
 
     /// Takes a lot. `ends` is counted from when its giver was asked, by the own clock, so it is over here before it is
@@ -164,9 +166,7 @@
     fn free_until(&self, now: Time, then: Time, home: u32) -> u32 {
         let ends = self.held.values().map(|h| h.ends).filter(|e| *e > now && *e < then);
         let free = |at: Time| {
-            let lots = self.lent.values().map(|l| (l.parts, l.until));
-            let out = lots.chain(self.fading.iter().copied()).filter(|l| l.1 > at);
-            let out = out.fold(0u32, |sum, l| sum.saturating_add(l.0));
+            let out = self.out().filter(|l| l.1 > at).fold(0u32, |sum, l| sum.saturating_add(l.0));
             home.saturating_add(self.held(at)).saturating_sub(out)
         };
         ends.chain([now]).map(free).min().unwrap_or(0)
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -3,9 +3,9 @@
 //! what it gives to whom; what a limit is worth, and what is done with it, is the decision module's.
 //!
 //! Every limit is [`WHOLE`] parts that exist once. A router's *home* is its even share, by the number of routers that may
-//! be at work; parts of it move by lots on lease ([`book`](self) counts them out before they are told). Homes are even
+//! be at work; parts of it move by lots on lease, counted out before they are told. Homes are even
 //! shares only as long as everybody divides by enough: a router that starts uses none until all others have said that
-//! they count it, and that all they ever gave fits under that ([`Limits::open`]).
+//! they count it, and that all they ever gave fits under that.
 //!
 //! Who has too much and who too little meet at a *broker*, by rendezvous hash over those who can be reached. A broker has
 //! no authority: two of them are two markets, and what each has was counted out elsewhere.
@@ -623,13 +623,12 @@
             };
             let (mut spare, unit) = (home - keep, l.unit);
             // What is lent stays lent as long as it is not needed; more is lent when it is worth the words.
-            let lent =
-                self.peers.get(&broker).map_or(0, |p| l.book.lent_to(&Holder(broker, p.life), self.now));
+            let Some(peer) = self.peers.get(&broker) else { continue };
+            let to = Holder(broker, peer.life);
+            let lent = l.book.lent_to(&to, self.now);
             if spare > lent && spare - lent < home / 16 {
                 spare = lent;
             }
-            let Some(peer) = self.peers.get(&broker) else { continue };
-            let to = Holder(broker, peer.life);
             let mut gifts = Vec::new();
             if peer.life != 0 {
                 let terms = self.setup.terms;
--- a/crates/fleet/tests/limits_model.rs
+++ b/crates/fleet/tests/limits_model.rs
@@ -5,11 +5,12 @@
 //! Bounded: so many steps from three states in which parts are away, at most six words in flight (the oldest are lost
 //! beyond), one crash, one cut, two words twice. Longer schedules are those of `limits.rs`.
 
+mod common;
+
+use common::{addr, by_text};
 use hollymux_decide::{ColdDemand, HostId, Sharers, Time, MS, SEC};
 use hollymux_fleet::limits::{Limits, Member, Setup, Standing, Terms};
 use stateright::{Checker, Model, Property};
-use std::hash::{Hash, Hasher};
-use std::net::SocketAddr;
 
 const ROUTERS: usize = 3;
 const FLIGHT: usize = 6;
@@ -17,10 +18,6 @@
 /// What the clocks gain, in a thousand: as far apart as the terms allow.
 const FAST: [i64; ROUTERS] = [10, 0, -10];
 
-fn addr(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, i as u8], 7_946))
-}
-
 #[derive(Clone, Debug)]
 struct State {
     /// True time, and who stands still.
@@ -38,16 +35,7 @@
     too_much: bool,
 }
 
-impl PartialEq for State {
-    fn eq(&self, other: &State) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-impl Hash for State {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        format!("{self:?}").hash(hasher);
-    }
-}
+by_text!(State);
 
 #[derive(Clone, Debug, PartialEq)]
 enum Action {
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -5,12 +5,13 @@
 //! Bounded: so many steps from a settled fleet, at most six datagrams in flight (the oldest are lost beyond), clocks at
 //! most 3 s apart, one crash, one cut, one datagram twice. Beyond that the seeded schedules of the laboratory go.
 
+mod common;
+
+use common::{addr, by_text};
 use hollymux_decide::{Time, SEC};
 use hollymux_fleet::view::{Rank, Record, Setup, Times, View};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeMap;
-use std::hash::{Hash, Hasher};
-use std::net::SocketAddr;
 
 const ROUTERS: usize = 3;
 const FLIGHT: usize = 6;
@@ -18,10 +19,6 @@
 /// In a fair run all that are up agree within this.
 const FAIR: Time = 60 * SEC;
 
-fn addr(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, i as u8], 7_946))
-}
-
 fn view(i: usize, now: Time, start: u64) -> View {
     let setup = Setup {
         fleet: "model".into(),
@@ -49,16 +46,7 @@
     went_back: bool,
 }
 
-impl PartialEq for State {
-    fn eq(&self, other: &State) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-impl Hash for State {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        format!("{self:?}").hash(hasher);
-    }
-}
+by_text!(State);
 
 #[derive(Clone, Debug, PartialEq)]
 enum Action {
--- a/crates/hollymux/tests/fleet.rs
+++ b/crates/hollymux/tests/fleet.rs
@@ -51,6 +51,15 @@
         fleet
     }
 
+    /// Five routers of so many places whose shares of what cold servers bear are in use.
+    fn on_lease(places: usize) -> Fleet {
+        let mut fleet = Fleet { more: ", limits: {}", ..Fleet::new(places) };
+        FIVE.iter().for_each(|r| fleet.start(*r));
+        fleet.settles(&FIVE);
+        until("five shares in use", || FIVE.iter().all(|r| fleet.uses_its_share(*r, 5)).then_some(()));
+        fleet
+    }
+
     fn section(&self, router: usize, name: &str) -> String {
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("'{}'", self.relay.addrs[*s])).collect();
         format!(
@@ -424,11 +433,7 @@
 /// that never gets it back: a router that is cut off can't say that it counts the newcomer.
 #[test]
 fn a_share_is_used_only_when_all_others_count_it() {
-    let mut f = Fleet::new(6);
-    f.more = ", limits: {}";
-    FIVE.iter().for_each(|r| f.start(*r));
-    f.settles(&FIVE);
-    until("five shares in use", || FIVE.iter().all(|r| f.uses_its_share(*r, 5)).then_some(()));
+    let mut f = Fleet::on_lease(6);
     f.relay.part(&[4], &[0, 1, 2, 3, 5]);
     f.lost(&[0, 1, 2, 3], 4);
     f.start(5);
@@ -453,11 +458,7 @@
 /// share back on the word of those that knew it.
 #[test]
 fn a_restarted_router_has_its_share_back_though_another_is_dead() {
-    let mut f = Fleet::new(5);
-    f.more = ", limits: {}";
-    FIVE.iter().for_each(|r| f.start(*r));
-    f.settles(&FIVE);
-    until("five shares in use", || FIVE.iter().all(|r| f.uses_its_share(*r, 5)).then_some(()));
+    let mut f = Fleet::on_lease(5);
     f.kill(4);
     f.lost(&[0, 1, 2, 3], 4);
     for r in 0..4 {
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -46,10 +46,11 @@
 }
 
 /// What is lost at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Lost {
     /// The first hub.
+    #[default]
     Hub,
     /// All hubs.
     Hubs,
@@ -112,7 +113,7 @@
 }
 
 /// What one day came to.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Row {
     /// What was lost, for how long, under which load, with how many routers, how uneven, with news how late.
     pub lost: Lost,
@@ -150,41 +151,19 @@
 impl Sweep {
     /// The days, in the order of the lists.
     fn days(&self) -> Vec<(Row, Day)> {
-        let mut all = Vec::new();
-        for &lost in &self.lost {
-            for &for_s in &self.for_s {
-                for &load in &self.loads {
-                    for &routers in &self.routers {
-                        for &uneven in &self.uneven {
-                            for &news_ms in &self.news_ms {
-                                for &seed in &self.seeds {
-                                    let row = Row {
-                                        lost,
-                                        for_s,
-                                        load,
-                                        routers,
-                                        uneven,
-                                        news_ms,
-                                        seed,
-                                        broken: BTreeMap::new(),
-                                        fell_untold: 0,
-                                        served_worth: 0.0,
-                                        back_s: None,
-                                        cold_worst: [0.0; 2],
-                                        cold_used: [None; 2],
-                                        library_per_s: 0.0,
-                                        attempts: 0.0,
-                                    };
-                                    let day = self.day_of(&row);
-                                    all.push((row, day));
-                                }
-                            }
-                        }
-                    }
-                }
-            }
-        }
-        all
+        let rows = vec![Row::default()];
+        let rows = each(rows, &self.lost, |r, v| r.lost = v);
+        let rows = each(rows, &self.for_s, |r, v| r.for_s = v);
+        let rows = each(rows, &self.loads, |r, v| r.load = v);
+        let rows = each(rows, &self.routers, |r, v| r.routers = v);
+        let rows = each(rows, &self.uneven, |r, v| r.uneven = v);
+        let rows = each(rows, &self.news_ms, |r, v| r.news_ms = v);
+        let rows = each(rows, &self.seeds, |r, v| r.seed = v);
+        let day = |row: Row| {
+            let day = self.day_of(&row);
+            (row, day)
+        };
+        rows.into_iter().map(day).collect()
     }
 
     fn day_of(&self, row: &Row) -> Day {
@@ -229,6 +208,16 @@
     }
 }
 
+/// Each row once with each of the values.
+fn each<T: Copy>(rows: Vec<Row>, values: &[T], set: impl Fn(&mut Row, T)) -> Vec<Row> {
+    let one = |row: &Row, value: &T| {
+        let mut row = row.clone();
+        set(&mut row, *value);
+        row
+    };
+    rows.iter().flat_map(|row| values.iter().map(move |v| (row, v))).map(|(r, v)| one(r, v)).collect()
+}
+
 /// Plays all days and gives their rows in order.
 ///
 /// # Errors
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -220,6 +220,11 @@
 /// What routers together send to a cold server, as a multiple of what it does (docs/design.md).
 const COLD_USE: f64 = 1.2;
 
+/// The same in bytes within a window.
+fn cold_budget(share: f64, rate: f64) -> f64 {
+    COLD_USE * share * rate * PUSHED as f64 / 1e6
+}
+
 /// Rules that the world saw broken, by name.
 pub type Broken = BTreeMap<&'static str, u64>;
 
@@ -964,7 +969,7 @@
         }
         let lately: f64 = e.pushed.iter().map(|p| p.1).sum();
         let bears = multiple * share * e.rate * PUSHED as f64 / 1e6;
-        let budget = COLD_USE * share * e.rate * PUSHED as f64 / 1e6;
+        let budget = cold_budget(share, e.rate);
         let use_of = &mut self.cold_use[usize::from(matches!(self.servers[server].kind, Kind::Hub(_)))];
         use_of.worst = use_of.worst.max(lately / budget);
         // A single request is no overload.
@@ -1042,7 +1047,7 @@
     fn look_at_cold(&mut self, server: usize, share: f64) {
         let (now, e) = (self.now, &self.engines[server]);
         let lately: f64 = e.pushed.iter().filter(|p| p.0 + PUSHED >= now).map(|p| p.1).sum();
-        let budget = COLD_USE * share * e.rate * PUSHED as f64 / 1e6;
+        let budget = cold_budget(share, e.rate);
         let hub = matches!(self.servers[server].kind, Kind::Hub(_));
         let used = &mut self.cold_use[usize::from(hub)].used;
         (used.0, used.1) = (used.0 + lately / budget, used.1 + 1);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -116,11 +116,14 @@
         let Some(mut fleet) = self.fleet.take() else { return Fate::Close };
         // One byte more than is ever read shows what is too long.
         let mut bytes = [0; DATAGRAM_MOST + 1];
+        // Nothing is sent to servers while these are read: what is asked for stays the same.
+        let mut demands = None;
         for _ in 0..TURN {
             match socket.recv(&mut bytes) {
                 Ok(n) if Limits::is_for(&bytes[..n]) => {
                     if let Some(limits) = &mut fleet.limits {
-                        limits.demand(self.now, &self.router.cold_demands(self.now));
+                        let demands = demands.get_or_insert_with(|| self.router.cold_demands(self.now));
+                        limits.demand(self.now, demands);
                         limits.datagram(self.now, &bytes[..n]);
                     }
                 }
@@ -198,6 +201,11 @@
         self.fleet = Some(fleet);
     }
 
+    /// Whether what cold servers bear is on lease.
+    pub(super) fn leased(&self) -> bool {
+        self.fleet.as_ref().is_some_and(|f| f.limits.is_some())
+    }
+
     /// Hands the core its parts of what cold servers bear.
     fn use_parts(&mut self, fleet: &mut Fleet) {
         let Some(limits) = &fleet.limits else { return };
@@ -213,7 +221,6 @@
         }
         let (homes, parts) = limits.use_at(self.now);
         self.router.lease(homes, parts);
-        self.leased = true;
     }
 
     /// What this router does has changed.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -236,8 +236,6 @@
     legacy: Option<Box<Legacy>>,
     /// What this router knows of others, if it is to know them.
     fleet: Option<Box<fleet::Fleet>>,
-    /// What cold servers bear is on lease.
-    leased: bool,
     /// Limits are shared with one of them.
     shared: bool,
     /// When the control feed told something last.
@@ -287,7 +285,6 @@
             forebear: None,
             legacy: None,
             fleet: None,
-            leased: false,
             shared: false,
             feed_told: 0,
             over: false,
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -294,7 +294,7 @@
 
     fn write_out(&mut self, key: Key, conn: &mut ShelfConn) -> Fate {
         // A part on lease may have ended while this process stood still: the clock is looked at again.
-        let now = if self.leased { self.clock.now() } else { self.now };
+        let now = if self.leased() { self.clock.now() } else { self.now };
         while let Some(message) = conn.queue.front_mut() {
             if let Some(attempt) = message.attempt.filter(|_| !message.begun) {
                 if now > message.decided + UNSENT {
