Send by another connection where one is late, and nothing once its client has left

What waited 200 ms for one was told to the module as a refused connection (shelfs.rs, dial_overdue), and as 200 ms is less than dialTimeout the host was held to have restarted (state.rs, Sign::unconnected): cold for as long as a start takes, with no budget left. Ruled out: caches that were busy (19 Full), lost answers (22 resets), clients that left (320 withdrawn, the same before and after).

Cause, leaving: a batch of events was taken in the order that epoll gives, after a stall a shelf's answer or a timer before the end of the client's connection, so that a further attempt went out for one who had gone; 16 reads of one connection, then its requests were handed on, before a cancel behind them was read; a drain in an unread feed was learnt after what it forbids.

Change: a connection that takes four times what the quickest one to its host took (20 to 100 ms) is late: what waits goes by an idle or a new one, at most three late ones a host; it is kept for later, 2.5 s at most. After 200 ms, or less where the graces of the settings are shorter, the attempt ends as Unreached: half a sign against the host, and no start. News is taken in order: feed, operators, clients, the rest. Before an attempt is begun that waited, or is a further one, its client's connection is read; before a resting connection to a host is used, that. What waits and names a source that drains is taken back, as is a repeat whose window has passed while it waited (Order::by).

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -65,6 +65,10 @@
     pub class: u16,
     /// What is asked.
     pub ask: Rc<Ask>,
+    /// Who asks: nothing goes out for one who has left.
+    pub client: Client,
+    /// It may not go out after this: what may have run before is told apart as a repeat only for so long.
+    pub by: Option<Time>,
 }
 
 /// What a DNS answer told a follower: a box by name and address, and the fill as texts.
@@ -116,8 +120,10 @@
 /// Why an attempt ended with no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lost {
-    /// No connection to the host came up, so it never ran.
+    /// The host refused a connection, so it never ran.
     Refused,
+    /// No connection came up while one was waited for, so it never ran.
+    Late,
     /// It was never written whole, so it never ran. That tells nothing of the host.
     Unsent,
     /// The connection ended after it was written whole.
@@ -264,6 +270,8 @@
     /// The last box asked and its source, by name, and how that ended.
     tried: (Option<Rc<str>>, Option<Rc<str>>),
     last: Option<Status>,
+    /// When the first attempt was sent that may have run.
+    ran: Option<Time>,
 }
 
 impl Open {
@@ -626,6 +634,7 @@
             }
             Input::Said(attempt, said) => self.on_said(now, attempt, said, commands),
             Input::Lost(attempt, Lost::Refused) => self.end(now, attempt, Status::ConnectFailed, commands),
+            Input::Lost(attempt, Lost::Late) => self.end(now, attempt, Status::Unreached, commands),
             Input::Lost(attempt, Lost::Unsent) => self.end(now, attempt, Status::Moot, commands),
             Input::Lost(attempt, Lost::Broken) => self.end(now, attempt, Status::Reset, commands),
             Input::Probed(host, well) => {
@@ -713,8 +722,8 @@
             self.by_client.insert(*client, id);
             self.open_ids.extend(wanted.rid);
         }
-        let (arrived, tried, last) = (now, (None, None), None);
-        self.open.insert(id, Open { mind, wanted, from, attempts: 0, arrived, deadline, tried, last });
+        let (arrived, tried, last, ran) = (now, (None, None), None, None);
+        self.open.insert(id, Open { mind, wanted, from, attempts: 0, arrived, deadline, tried, last, ran });
         self.drive(now, mind, Event::Request(request), commands);
         id
     }
@@ -854,6 +863,9 @@
         let out = self.out.remove(&attempt)?;
         if let Some(open) = self.open.get_mut(&attempt.request) {
             open.last = Some(status);
+            if !status.never_ran() {
+                open.ran = open.ran.or(Some(out.sent));
+            }
         }
         let name = |id: HostId| self.members.get(&id).map(|m| m.0.clone());
         if let Some(host) = name(out.host).filter(|_| !out.named) {
@@ -1006,7 +1018,11 @@
         let attempt = AttemptId { request, number: open.attempts };
         open.attempts += 1;
         let (mind, class) = (open.mind, open.wanted.class);
-        let ask = open.from.as_ref().map(|f| f.1.clone());
+        let ask = open.from.as_ref().map(|(client, ask)| (*client, ask.clone()));
+        // A tenth of the window is left for the way there, as in the decision.
+        let keyed = &self.settings.classes[usize::from(class)];
+        let keyed = Some(keyed.window / 10 * 9).filter(|_| keyed.effect == Effect::Keyed);
+        let by = open.ran.zip(keyed).map(|(ran, window)| ran + window);
         self.out
             .insert(attempt, Out { mind, class, host, source: fill.source, sent: now, named: ask.is_none() });
         let Some(target) = self.target(host, fill) else {
@@ -1017,10 +1033,10 @@
             open.tried = (Some(target.uid.clone()), target.source.clone());
         }
         match ask {
-            Some(ask) => {
+            Some((client, ask)) => {
                 self.counters.attempts += 1;
                 commands.push(Command::Wake(now + timeout, Wake::Attempt(attempt)));
-                commands.push(Command::Send(Order { attempt, target, timeout, class, ask }));
+                commands.push(Command::Send(Order { attempt, target, timeout, class, ask, client, by }));
             }
             None => {
                 if let Some(open) = self.open.remove(&request) {
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -385,6 +385,8 @@
     Timeout,
     /// No connection; did not run.
     ConnectFailed,
+    /// No connection came up while one was waited for; did not run. It may yet come up.
+    Unreached,
     /// The connection broke; may have run.
     Reset,
     /// Cancelled; may have run.
@@ -396,8 +398,8 @@
 impl Status {
     /// Whether this outcome proves that the attempt did not run.
     pub fn never_ran(self) -> bool {
-        use Status::{ConnectFailed, Full, Miss, Moot};
-        matches!(self, Miss | Full | ConnectFailed | Moot)
+        use Status::{ConnectFailed, Full, Miss, Moot, Unreached};
+        matches!(self, Miss | Full | ConnectFailed | Unreached | Moot)
     }
 }
 
--- a/crates/decide/src/policy/outcomes.rs
+++ b/crates/decide/src/policy/outcomes.rs
@@ -42,11 +42,14 @@
             Status::Error => self.on_error(id, n),
             // It has answered since: the connection broke, not the host.
             Status::Reset if self.fleet.answered(t.host, t.sent) => {}
-            Status::Reset | Status::ConnectFailed => {
-                // Broken connections alone may be a bad line: a dying process breaks many at once.
-                let failed = out.status == Status::ConnectFailed;
-                let sign = Some(Sign::unconnected(&self.settings, out.latency)).filter(|_| failed);
-                self.strike(now, t.host, if failed { 1.0 } else { 0.4 }, sign.unwrap_or(Sign::Slow));
+            Status::Reset | Status::ConnectFailed | Status::Unreached => {
+                // A bad line breaks connections, and has them come up late: only refused ones are a start.
+                let (weight, sign) = match out.status {
+                    Status::ConnectFailed => (1.0, Sign::unconnected(&self.settings, out.latency)),
+                    Status::Unreached => (0.5, Sign::Unreached),
+                    _ => (0.4, Sign::Slow),
+                };
+                self.strike(now, t.host, weight, sign);
                 self.avoid(id, Some(t.host));
             }
             Status::Timeout => {
@@ -106,12 +109,10 @@
         for t in failed {
             let parent = t.source.filter(|s| untold && self.is_parent(*s) && t.source != served.source);
             match parent.and_then(|s| self.fleet.hosts.get(&s)).map(|h| (h.entry.id, h.strikes)) {
-                Some((parent, before)) => self.strike(
-                    now,
-                    parent,
-                    1.0,
-                    if before + 1.0 >= STRIKES { Sign::Dead } else { Sign::Slow },
-                ),
+                Some((parent, before)) => {
+                    let sign = if before + 1.0 >= STRIKES { Sign::Dead } else { Sign::Slow };
+                    self.strike(now, parent, 1.0, sign);
+                }
                 None if t.host != served.host => {
                     let Some(h) = self.fleet.hosts.get_mut(&t.host) else { continue };
                     h.faults += (1.0 - h.faults) / FAULTS;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -26,6 +26,11 @@
 /// So many requests withdrawn in haste or beyond those that may be open, with no answer between, end the
 /// connection: clients of the platform withdraw now and then as well.
 const WASTE_MOST: u32 = 48;
+/// Reads of one client's connection in a row: all that it may have open and be wasted, of the largest size. What waits
+/// behind a request may say that nobody wants it any more, so it is read before the request is handed on.
+const READS: usize = (OPEN_MOST + WASTE_MOST as usize) * 3;
+/// Connections taken in a row.
+const ACCEPTS: usize = 16;
 /// From this part of the pool in use on, new requests are refused.
 const CROWDED: f64 = 0.8;
 /// One connection's answers may fill this part of the pool while they wait to be written.
@@ -65,7 +70,7 @@
 
 impl Driver {
     pub(super) fn on_accept(&mut self, key: Key, listener: &mut TcpListener) -> Fate {
-        for _ in 0..READS {
+        for _ in 0..ACCEPTS {
             if !self.lifecycle.accepts(self.now) {
                 break;
             }
@@ -138,7 +143,18 @@
         if !flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
             return Fate::Keep;
         }
-        self.read_from(conn, |c| &mut c.stream, |driver, c, bytes| driver.client_bytes(key, c, bytes))
+        self.read_from(conn, READS, |c| &mut c.stream, |driver, c, bytes| driver.client_bytes(key, c, bytes))
+    }
+
+    /// Whether a client has stopped waiting for a request, as far as this machine knows: what has come from him is read.
+    pub(super) fn has_left(&mut self, client: Client) -> bool {
+        // Nobody there: it was closed. A connection that is being served has been read.
+        let Some(place) = self.at(client.conn) else { return true };
+        let Some(Role::Client(mut conn)) = place.role.take() else { return false };
+        let fate = self.on_client(client.conn, &mut conn, EventFlags::IN);
+        let left = !conn.owed.contains_key(&client.tag);
+        self.put_back(client.conn, Role::Client(conn), fate);
+        left || fate != Fate::Keep
     }
 
     fn client_bytes(&mut self, key: Key, conn: &mut ClientConn, mut bytes: &[u8]) -> Fate {
@@ -238,9 +254,11 @@
     pub(super) fn answer(&mut self, client: Client, reply: Reply) {
         let Some(Role::Client(mut conn)) = self.take(client.conn) else { return };
         if conn.owed.remove(&client.tag).is_none() {
-            // It would be a second answer.
-            self.router.counters.broken += 1;
-            debug_assert!(false, "an answer that is not owed");
+            // The client has stopped waiting, and the core hears of it next; else it would be a second answer.
+            if !self.inbox.iter().any(|i| matches!(i, Input::Undo(c) if *c == client)) {
+                self.router.counters.broken += 1;
+                debug_assert!(false, "an answer that is not owed");
+            }
             return self.put_back(client.conn, Role::Client(conn), Fate::Keep);
         }
         (conn.used, conn.waste) = (self.now, 0);
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -58,7 +58,7 @@
                 return Fate::Close;
             }
         }
-        self.read_from(feed, |f| &mut f.stream, Driver::feed_bytes)
+        self.read_from(feed, READS, |f| &mut f.stream, Driver::feed_bytes)
     }
 
     fn feed_bytes(&mut self, feed: &mut Feed, bytes: &[u8]) -> Fate {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -271,7 +271,7 @@
                     }
                 }
             };
-            if self.read_from(peer, |p| &mut p.stream, hand) == Fate::Close {
+            if self.read_from(peer, READS, |p| &mut p.stream, hand) == Fate::Close {
                 return Fate::Close;
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -58,6 +58,8 @@
 const BEGIN: Time = 2_000 * MS;
 /// Reads of one connection in a row.
 const READS: usize = 16;
+/// What one wait tells of at the most: every descriptor of a small router. What it leaves out comes with the next one.
+const EVENTS: usize = 1_024;
 /// A connection with output waiting that takes none for this long is closed.
 const STUCK: Time = 8_000 * MS;
 
@@ -341,7 +343,7 @@
 
     /// Serves until SIGTERM and what is open then is finished.
     pub fn run(&mut self) -> io::Result<()> {
-        let mut events = Vec::with_capacity(256);
+        let mut events = Vec::with_capacity(EVENTS);
         while !self.over {
             self.now = self.clock.now();
             let wait = self.wheel.wait(self.now).unwrap_or(ROUND);
@@ -354,18 +356,12 @@
                 Ok(_) | Err(rustix::io::Errno::INTR) => {}
                 Err(e) => return Err(e.into()),
             }
-            self.now = self.clock.now();
-            // Operators first: they are few, and wait a second at most. Other routers last: clients come before them.
-            if self.door.is_some() || self.fleet.is_some() {
-                events.sort_by_key(|e| match self.seen(e.data.u64()) {
-                    Some(Role::DoorListener(_) | Role::DoorConn(_)) => 0,
-                    Some(Role::Fleet(_)) => 2,
-                    _ => 1,
-                });
-            }
+            events.sort_by_key(|e| self.turn(e.data.u64()));
             for event in &events {
+                self.now = self.clock.now();
                 self.on_event(event.data.u64(), event.flags);
             }
+            self.now = self.clock.now();
             for timer in self.wheel.due(self.now) {
                 self.on_timer(timer);
             }
@@ -400,7 +396,7 @@
     fn on_timer(&mut self, timer: Timer) {
         match timer {
             Timer::Core(wake) => self.inbox.push_back(Input::Wake(wake)),
-            Timer::Dial(key) => self.dial_overdue(key),
+            Timer::Dial(key) => self.dial_late(key),
             Timer::Resolve(id) => self.resolve_overdue(id),
             Timer::Feed => self.open_feed(),
             Timer::Round => {
@@ -504,6 +500,18 @@
         }
     }
 
+    /// The order in which news is taken. After a stall much has come at once: first that a host takes no more work,
+    /// then operators, who wait a second at most, then that clients have left, and only then what has work sent.
+    fn turn(&self, key: Key) -> u8 {
+        match self.seen(key) {
+            Some(Role::Feed(_)) => 0,
+            Some(Role::DoorListener(_) | Role::DoorConn(_)) => 1,
+            Some(Role::Client(_)) => 2,
+            Some(Role::Fleet(_)) => 4,
+            _ => 3,
+        }
+    }
+
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send(order) => self.send(order),
@@ -630,18 +638,20 @@
     fn read_from<C, S: Read + Write>(
         &mut self,
         conn: &mut C,
+        reads: usize,
         stream: fn(&mut C) -> &mut Stream<S>,
         mut hand: impl FnMut(&mut Driver, &mut C, &[u8]) -> Fate,
     ) -> Fate {
         let mut scratch = std::mem::take(&mut self.scratch);
+        scratch.resize(BUFFER, 0);
         let mut fate = Fate::Keep;
-        for _ in 0..READS {
+        for _ in 0..reads {
             match stream(conn).read(&mut scratch) {
                 Ok(Some(0)) | Err(_) => fate = Fate::Close,
                 Ok(Some(n)) => fate = hand(self, conn, &scratch[..n]),
                 Ok(None) => break,
             }
-            if fate == Fate::Close {
+            if fate != Fate::Keep {
                 break;
             }
         }
--- a/crates/node/src/operations.rs
+++ b/crates/node/src/operations.rs
@@ -72,7 +72,7 @@
         if flags.contains(EventFlags::OUT) && self.flush_door(key, conn) == Fate::Close {
             return Fate::Close;
         }
-        self.read_from(conn, |c| &mut c.stream, |driver, c, bytes| driver.door_bytes(key, c, bytes))
+        self.read_from(conn, READS, |c| &mut c.stream, |driver, c, bytes| driver.door_bytes(key, c, bytes))
     }
 
     fn door_bytes(&mut self, key: Key, conn: &mut DoorConn, bytes: &[u8]) -> Fate {
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -1,15 +1,19 @@
 //! Connections to shelfs, parents and the origin.
 
+mod dialing;
+
 use super::*;
 use hollymux_core::figures::End;
-use hollymux_core::{Lost, Order, Said};
+use hollymux_core::{Client, Lost, Order, Said};
 use hollymux_decide::Effect;
 use hollymux_wire::resp::{Decoder, RespError};
 use hollymux_wire::shelf;
 
-/// What was not begun to be written this long after it was decided is not sent: drains leave 500 ms, purges
-/// 300 ms from when they were told, and what is on its way then must have been decided before.
+/// What was not begun to be written this long after it was decided is not sent, or less where the graces for drains
+/// and purges are shorter: what goes out once such a grace is over must have been decided after it was told.
 pub(super) const UNSENT: Time = 200 * MS;
+/// So much of a grace is left for the way there.
+const SPARE: Time = 50 * MS;
 /// Connections to one host.
 const LINE_MOST: usize = 32;
 /// Ids given up or answered lately on a connection: the same id is not asked there again, a late answer or a
@@ -24,17 +28,38 @@
 #[derive(Default)]
 pub(super) struct Line {
     keys: Vec<Key>,
+    /// The least time that a connection took to come up.
+    quickest: Option<Time>,
 }
 
 /// A message on its way out.
 struct Message {
     bytes: Chain,
     /// The attempt that it carries, if it is one.
-    attempt: Option<AttemptId>,
+    errand: Option<Errand>,
     begun: bool,
     decided: Time,
 }
 
+/// The attempt that a message carries, and what forbids to begin it.
+#[derive(Clone, Copy)]
+struct Errand {
+    id: AttemptId,
+    /// Nothing goes out for a client that has left.
+    client: Client,
+    /// Nor with a source that takes no work any more.
+    source: Option<HostId>,
+    /// Nor after this.
+    by: Option<Time>,
+}
+
+impl Message {
+    /// The attempt of which nothing has gone out yet.
+    fn waiting(&self) -> Option<Errand> {
+        self.errand.filter(|_| !self.begun)
+    }
+}
+
 enum Sent {
     Attempt(Given),
     Probe,
@@ -60,7 +85,10 @@
 pub(super) struct ShelfConn {
     pub(super) stream: Stream,
     host: HostId,
+    addr: SocketAddr,
     decoder: Decoder,
+    /// When it was begun.
+    since: Time,
     up: bool,
     queue: VecDeque<Message>,
     /// What is open on it, by the id on the wire.
@@ -74,8 +102,8 @@
 }
 
 impl ShelfConn {
-    fn queue(&mut self, bytes: Chain, attempt: Option<AttemptId>, decided: Time) {
-        self.queue.push_back(Message { bytes, attempt, begun: false, decided });
+    fn queue(&mut self, bytes: Chain, errand: Option<Errand>, decided: Time) {
+        self.queue.push_back(Message { bytes, errand, begun: false, decided });
     }
 
     /// An id of which nothing more is expected.
@@ -89,9 +117,14 @@
     /// Takes an attempt off that was not begun; whether there was one.
     fn unqueue(&mut self, attempt: AttemptId) -> bool {
         let before = self.queue.len();
-        self.queue.retain(|m| m.begun || m.attempt != Some(attempt));
+        self.queue.retain(|m| m.waiting().is_none_or(|e| e.id != attempt));
         before != self.queue.len()
     }
+
+    /// Whether it has been coming up for longer than that.
+    fn late(&self, now: Time, after: Time) -> bool {
+        !self.up && now > self.since + after
+    }
 }
 
 /// Whether it is the host that can't be connected to; a reset or a want of descriptors tells nothing of it.
@@ -111,43 +144,28 @@
     fn try_send(&mut self, order: Order) -> Result<(), Lost> {
         let bytes = shelf::ask(&self.pool, &order).map_err(|_| Lost::Unsent)?;
         let rid = order.ask.rid.0.clone();
-        let key = self.connection(order.target.host, order.target.addr, &rid)?;
+        let (host, addr) = (order.target.host, order.target.addr);
+        let mut key = self.connection(host, addr, &rid)?;
+        // Its end may have come and not been read yet: what is written there may have run for all that is known.
+        while self.has_ended(key) {
+            key = self.connection(host, addr, &rid)?;
+        }
         let now = self.now;
         let Some(Role::Shelf(conn)) = self.role(key) else { return Err(Lost::Unsent) };
         let (id, class, held) = (order.attempt, order.class, order.ask.held.clone());
         conn.open.insert(rid, Sent::Attempt(Given { id, class, held, since: now, whole: false }));
-        conn.queue(bytes, Some(order.attempt), now);
+        let (client, source, by) = (order.client, order.target.fill.source, order.by);
+        conn.queue(bytes, Some(Errand { id, client, source, by }), now);
         self.attempts.insert(order.attempt, key);
         self.write_shelf(key);
         Ok(())
     }
 
-    /// A connection that can carry one more: an idle one, else a new one, else the one with the least open.
-    fn connection(&mut self, host: HostId, addr: SocketAddr, id: &[u8]) -> Result<Key, Lost> {
-        let keys = self.shelfs.get(&host).map_or(Vec::new(), |l| l.keys.clone());
-        let streams = self.config.streams;
-        let mut best: Option<(usize, Key)> = None;
-        for &key in &keys {
-            let Some(Role::Shelf(c)) = self.role(key) else { continue };
-            let clear = !c.open.contains_key(id) && !c.spent.iter().any(|s| s == id);
-            let waiting: usize = c.queue.iter().map(|m| m.bytes.len()).sum();
-            // One that still brings what nobody waits for holds up whatever comes behind.
-            let clear = clear && !(c.open.is_empty() && c.decoder.midway());
-            if c.leaving || !clear || c.open.len() >= streams || waiting > OUT_MOST {
-                continue;
-            }
-            if best.is_none_or(|b| c.open.len() < b.0) {
-                best = Some((c.open.len(), key));
-            }
-        }
-        let idle = best.filter(|b| b.0 == 0);
-        let room = keys.len() < LINE_MOST && self.shelf_conns < self.shelfs_most();
-        let new = (idle.is_none() && room).then(|| self.dial_shelf(host, addr));
-        match (new, best) {
-            (Some(Ok(key)), _) | (_, Some((_, key))) => Ok(key),
-            (Some(Err(e)), None) if refuses(&e) => Err(Lost::Refused),
-            _ => Err(Lost::Unsent),
-        }
+    /// How long a message may wait to be begun.
+    fn patience(&self) -> Time {
+        let s = self.router.settings();
+        let graces = [s.drain_grace, s.purge_slack].into_iter().filter(|g| *g > 0);
+        graces.map(|g| g.saturating_sub(SPARE).max(SPARE / 5)).fold(UNSENT, Time::min)
     }
 
     /// The descriptors that are for connections to shelfs.
@@ -156,45 +174,14 @@
         (sockets - sockets / 3).saturating_sub(RESERVED).min(sockets / 2)
     }
 
-    fn dial_shelf(&mut self, host: HostId, addr: SocketAddr) -> io::Result<Key> {
-        let mut stream = Stream::new(dial(addr)?, self.now);
-        stream.waiting = true;
-        let conn = ShelfConn {
-            stream,
-            host,
-            decoder: shelf::decoder(&self.pool),
-            up: false,
-            queue: VecDeque::new(),
-            open: HashMap::new(),
-            spent: VecDeque::new(),
-            used: self.now,
-            leaving: false,
-            refused: false,
-        };
-        let key = self.place(Role::Shelf(conn))?;
-        self.shelf_conns += 1;
-        self.shelfs.entry(host).or_default().keys.push(key);
-        self.wheel.set(self.now + UNSENT, Timer::Dial(key));
-        Ok(key)
-    }
-
-    pub(super) fn dial_overdue(&mut self, key: Key) {
-        if let Some(Role::Shelf(conn)) = self.role(key) {
-            if !conn.up {
-                conn.refused = true;
-                self.close(key);
-            }
-        }
-    }
-
     pub(super) fn probe(&mut self, host: HostId, addr: SocketAddr) {
-        let tag = format!("p{:x}", self.now).into_bytes();
+        let now = self.now;
+        let tag = format!("p{now:x}").into_bytes();
         let probe = shelf::probe(&self.pool, &tag).ok();
         let key = self.connection(host, addr, &tag).ok();
         match (probe, key.and_then(|k| self.role(k))) {
             (Some(bytes), Some(Role::Shelf(conn))) => {
                 conn.open.insert(tag, Sent::Probe);
-                let now = conn.used;
                 conn.queue(bytes, None, now);
                 self.write_shelf(key.unwrap_or_default());
             }
@@ -238,8 +225,9 @@
                     conn.refused = refuses(&e);
                     return Fate::Close;
                 }
+                conn.up = true;
+                self.came_up(conn);
             }
-            conn.up = true;
             if self.write_out(key, conn) == Fate::Close {
                 return Fate::Close;
             }
@@ -252,7 +240,16 @@
             warn!(shelf = format_args!("{:x}", conn.host.0), "a shelf's answer can't be used: {e}");
             Fate::Close
         };
-        self.read_from(conn, |c| &mut c.stream, hand)
+        self.read_from(conn, READS, |c| &mut c.stream, hand)
+    }
+
+    /// Whether a connection that rests has ended, as far as this machine knows: what has come on it is read.
+    fn has_ended(&mut self, key: Key) -> bool {
+        let rests = matches!(self.seen(key), Some(Role::Shelf(c)) if c.up && c.open.is_empty());
+        let Some(Role::Shelf(mut conn)) = (if rests { self.take(key) } else { None }) else { return false };
+        let fate = self.on_shelf(key, &mut conn, EventFlags::IN);
+        self.put_back(key, Role::Shelf(conn), fate);
+        fate != Fate::Keep
     }
 
     fn shelf_bytes(&mut self, conn: &mut ShelfConn, mut bytes: &[u8]) -> Result<(), RespError> {
@@ -295,17 +292,21 @@
     fn write_out(&mut self, key: Key, conn: &mut ShelfConn) -> Fate {
         // A part on lease may have ended while this process stood still: the clock is looked at again.
         let now = if self.leased() { self.clock.now() } else { self.now };
-        while let Some(message) = conn.queue.front_mut() {
-            if let Some(attempt) = message.attempt.filter(|_| !message.begun) {
-                if now > message.decided + UNSENT {
-                    self.unsend(conn, attempt);
+        while let Some(message) = conn.queue.front() {
+            if let Some(errand) = message.waiting() {
+                // Since it was decided its client may have left, which nobody has read yet.
+                let waited = errand.id.number > 0 || now > message.decided;
+                let late = now > message.decided + self.patience() || errand.by.is_some_and(|by| now > by);
+                if late || waited && self.has_left(errand.client) {
+                    self.unsend(conn, errand.id, Lost::Unsent);
                     continue;
                 }
             }
+            let Some(message) = conn.queue.front_mut() else { break };
             let before = message.bytes.len();
             match conn.stream.write(&mut message.bytes, self.now) {
                 Ok(true) => {
-                    let attempt = message.attempt;
+                    let attempt = message.errand.map(|e| e.id);
                     conn.queue.pop_front();
                     conn.used = self.now;
                     for sent in conn.open.values_mut() {
@@ -331,11 +332,11 @@
     }
 
     /// Takes back an attempt of which nothing has gone out.
-    fn unsend(&mut self, conn: &mut ShelfConn, attempt: AttemptId) {
+    fn unsend(&mut self, conn: &mut ShelfConn, attempt: AttemptId, lost: Lost) {
         if conn.unqueue(attempt) {
             conn.open.retain(|_, s| !s.is(attempt));
             self.attempts.remove(&attempt);
-            self.inbox.push_back(Input::Lost(attempt, Lost::Unsent));
+            self.inbox.push_back(Input::Lost(attempt, lost));
         }
     }
 
@@ -345,12 +346,28 @@
         for key in keys {
             if fate == Fate::Close {
                 self.close(key);
-                continue;
+            } else if let Some(Role::Shelf(conn)) = self.role(key) {
+                conn.leaving = true;
             }
+        }
+        if fate == Fate::Close {
+            self.shelfs.remove(&host);
+        }
+        self.unsend_all(|h, e| h == host || e.source == Some(host));
+    }
+
+    /// Takes back what waits for these hosts or names these sources.
+    fn unsend_all(&mut self, which: impl Fn(HostId, &Errand) -> bool) {
+        let waits = |(key, role): (Key, &Role)| match role {
+            Role::Shelf(c) => {
+                let waiting = c.queue.iter().filter_map(Message::waiting).filter(|e| which(c.host, e));
+                Some((key, waiting.map(|e| e.id).collect::<Vec<_>>())).filter(|w| !w.1.is_empty())
+            }
+            _ => None,
+        };
+        for (key, unsent) in self.roles().filter_map(waits).collect::<Vec<_>>() {
             let Some(Role::Shelf(mut conn)) = self.take(key) else { continue };
-            conn.leaving = true;
-            let unsent: Vec<_> = conn.queue.iter().filter(|m| !m.begun).filter_map(|m| m.attempt).collect();
-            unsent.into_iter().for_each(|a| self.unsend(&mut conn, a));
+            unsent.into_iter().for_each(|a| self.unsend(&mut conn, a, Lost::Unsent));
             self.put_back(key, Role::Shelf(conn), Fate::Keep);
         }
     }
@@ -359,9 +376,6 @@
         self.shelf_conns -= 1;
         if let Some(line) = self.shelfs.get_mut(&conn.host) {
             line.keys.retain(|k| *k != key);
-            if line.keys.is_empty() {
-                self.shelfs.remove(&conn.host);
-            }
         }
         let mut ended: Vec<(Vec<u8>, Sent)> = conn.open.into_iter().collect();
         ended.sort_by(|a, b| a.0.cmp(&b.0));
@@ -382,7 +396,8 @@
         let unused = conn.open.is_empty() && conn.queue.is_empty();
         let stuck = conn.up && conn.stream.stuck(self.now, STUCK);
         let beyond = self.shared && self.shelf_conns > self.shelfs_most();
-        if conn.up && unused && (conn.leaving || beyond || self.now > conn.used + idle) || stuck {
+        let never = conn.late(self.now, dialing::NEVER);
+        if unused && (conn.leaving || beyond || never || self.now > conn.used + idle) || stuck {
             Fate::Close
         } else {
             Fate::Keep
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -211,7 +211,7 @@
             Why::Host(Status::Miss) => Reason::Missed,
             Why::Host(Status::Full) => Reason::Full,
             Why::Host(Status::Moot) => Reason::Unsent,
-            Why::Host(Status::ConnectFailed) => Reason::Unreached,
+            Why::Host(Status::ConnectFailed | Status::Unreached) => Reason::Unreached,
             Why::Host(Status::Error | Status::Ok) => Reason::Error,
             Why::Host(Status::Timeout) => Reason::Silent,
             Why::Host(Status::Reset) => Reason::Broken,
