End a process and connections without resetting what is on its way, and feeds out of step

Cause, found by reading each state against each event: - lib.rs, settle: a process that had finished what it knew of ended in the middle of a batch of events, so that a request that had come but was not read (a stall over the 0.7 s after SIGTERM) was sent on and lost, or reset unread. - on_accept takes nobody once the 0.7 s are over, then the listener is closed: whoever had connected during a stall was reset. - at the end connections were closed with bytes unread (a client that asks on): a reset takes an answer along that is on its way. The same where a client sends what can't be read, uses a tag twice, rests for 8 s, or is closed for want of room. - a client with half a message for 1.5 s was closed though answers were owed to it. - Timer::Over ended the process with requests open. - all routers called a feed that fell silent for all 2.5 s later, in step. - while two processes share the descriptors, idle clients of the old one kept more than its half.

Change: a process ends when a further look shows that nothing has come; first it takes who has connected, shuts connections and reads them to their end, 0.25 s at most (lifecycle.rs, FAREWELL). Fate::Part does the same for a client that is out of step. Room is made by connections that are shut already, and never by one with bytes to read. What is open when the time is over gets its answer (Input::End). A feed's silence is borne for 2.2 to 2.8 s and its calls are spread, at random per router.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -6,6 +6,9 @@
 
 /// New connections and requests are taken for this long after SIGTERM.
 pub const LINGER: Time = 700 * MS;
+/// Clients whose connections are shut at the end have so long to close theirs: a process that ends over bytes that it
+/// has not read resets the connection, and an answer on its way with it.
+pub const FAREWELL: Time = 250 * MS;
 /// A front that is told no sends nobody new 0.2 s later, and asks every 0.1 s: before that a connection that is
 /// closed only comes back.
 const NOTICE: Time = 400 * MS;
@@ -130,10 +133,10 @@
         !lingered && (!noticed && !replaced || begins)
     }
 
-    /// Whether it ends with connections still open on which nothing is: their clients know that it ends. Those of a
-    /// process that was replaced are let go one by one.
-    pub fn drops(&self) -> bool {
-        !self.replaced
+    /// Whether it ends with connections still open on which nothing is: their clients know that it ends, and had time
+    /// to close them. Those of a process that was replaced are let go one by one.
+    pub fn drops(&self, now: Time) -> bool {
+        !self.replaced && self.stopping.is_some_and(|at| now >= at + LINGER + FAREWELL)
     }
 
     /// From when on connections with nothing open are closed.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -151,6 +151,8 @@
     Told(Told),
     /// A timer is due.
     Wake(Wake),
+    /// The router ends: whatever is open gets its answer now.
+    End,
 }
 
 /// How a request was closed.
@@ -656,6 +658,17 @@
                 let status = if named == Some(true) { Status::Cancelled } else { Status::Timeout };
                 self.end(now, attempt, status, commands);
             }
+            Input::End => self.end_all(now, commands),
+        }
+    }
+
+    /// Answers whatever is open: nothing may be left when the router ends.
+    fn end_all(&mut self, now: Time, commands: &mut Vec<Command>) {
+        for request in std::mem::take(&mut self.by_client).into_values() {
+            if let Some(mind) = self.open.get(&request).map(|o| o.mind) {
+                self.reply(now, request, Reply::Failed, commands);
+                self.drive(now, mind, Event::Withdrawn { request }, commands);
+            }
         }
     }
 
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -63,8 +63,12 @@
 
     /// A message has begun to come, or bytes wait to be read that may be one.
     fn coming(&self) -> bool {
-        let unread = rustix::io::ioctl_fionread(&self.stream.socket).unwrap_or(0);
-        unread > 0 || self.decoder.midway()
+        self.unread() || self.decoder.midway()
+    }
+
+    /// Bytes have come that were not read yet.
+    fn unread(&self) -> bool {
+        rustix::io::ioctl_fionread(&self.stream.socket).unwrap_or(0) > 0
     }
 }
 
@@ -79,6 +83,29 @@
                 self.pause(key, listener);
                 break;
             }
+            if !self.accept(key, listener) {
+                break;
+            }
+        }
+        Fate::Keep
+    }
+
+    /// Takes whoever has connected by now, before the listener is closed: what waits there would be reset, and its
+    /// requests with it.
+    pub(super) fn accept_last(&mut self) {
+        if let Some(Role::Listener(mut listener)) = self.take(self.listener) {
+            while self.clients + self.shelf_conns + RESERVED < self.sockets() {
+                if !self.accept(self.listener, &mut listener) {
+                    break;
+                }
+            }
+            self.put_back(self.listener, Role::Listener(listener), Fate::Keep);
+        }
+    }
+
+    /// Takes one connection; whether there may be another one.
+    fn accept(&mut self, key: Key, listener: &mut TcpListener) -> bool {
+        loop {
             match listener.accept() {
                 Ok((socket, _)) => {
                     let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
@@ -98,16 +125,16 @@
                     if ready.and_then(|()| self.place(Role::Client(conn))).is_ok() {
                         self.clients += 1;
                     }
+                    return true;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(_) => {
                     self.pause(key, listener);
-                    break;
+                    return false;
                 }
             }
         }
-        Fate::Keep
     }
 
     /// The descriptors that are for clients: the platform's hold a third of all at most, so what is above that is
@@ -117,17 +144,19 @@
         (sockets - self.shelfs_most()).saturating_sub(RESERVED).max(sockets / 3)
     }
 
-    /// Makes room: closes the connection whose message has been awaited longest, else the one idle longest.
-    fn evict(&mut self) -> bool {
+    /// Makes room: closes a connection that was shut, else the one whose message has been awaited longest, else the one
+    /// idle longest. One with bytes to read stays: they may be a request, and a close over them resets the connection.
+    pub(super) fn evict(&mut self) -> bool {
         let before = self.now.saturating_sub(GRACE);
         let victim = |(key, role): (Key, &Role)| match role {
             Role::Client(c) if c.resting() => {
-                let rank = match c.awaited {
-                    Some(at) if at < before => (0, at),
-                    None if c.used < before => (1, c.used),
+                let rank = match (c.closing, c.awaited) {
+                    (Some(at), _) => (0, at),
+                    (None, Some(at)) if at < before => (1, at),
+                    (None, None) if c.used < before => (2, c.used),
                     _ => return None,
                 };
-                Some((rank, key))
+                (rank.0 == 0 || !c.unread()).then_some((rank, key))
             }
             _ => None,
         };
@@ -183,7 +212,7 @@
                     front::fit(&self.pool, tag, self.lifecycle.ready()).map(|c| conn.out.append(c))
                 }
                 // A tag used twice: its answers could not be told apart, the client is out of step.
-                Ok(Call::Do(tag, _)) if !conn.tags.take(tag) => return Fate::Close,
+                Ok(Call::Do(tag, _)) if !conn.tags.take(tag) => return Fate::Part,
                 Ok(Call::Do(tag, Err(class))) => {
                     self.router.spoilt(&class);
                     self.say(conn, tag, Reply::Failed)
@@ -215,7 +244,7 @@
                     }
                     Ok(())
                 }
-                Err(_) => return Fate::Close,
+                Err(_) => return Fate::Part,
             };
             let kept = said.is_ok() && conn.waste <= WASTE_MOST && !self.overfull(conn);
             if !kept || self.flush(key, &mut conn.stream, &mut conn.out) == Fate::Close {
@@ -281,11 +310,33 @@
         if goes && !conn.sent_away && self.now < conn.used + REST {
             self.wheel.set(conn.used + REST, Timer::Go(key));
         } else if goes && !conn.coming() {
-            conn.closing = Some(self.now);
-            let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
+            self.shut(conn);
         }
     }
 
+    /// Shuts a connection for writing; it is read to its end, and what comes is passed over.
+    fn shut(&mut self, conn: &mut ClientConn) {
+        conn.closing = Some(self.now);
+        let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
+    }
+
+    /// Ends a connection whose client is out of step: what is open on it is withdrawn. Answers that are on their way
+    /// reach him, as bytes that he still sends are read and passed over.
+    pub(super) fn part(&mut self, key: Key) {
+        let Some(Role::Client(mut conn)) = self.take(key) else { return };
+        conn.owed.clear();
+        conn.out = self.pool.chain();
+        self.withdraw_all(key);
+        self.shut(&mut conn);
+        self.put_back(key, Role::Client(conn), Fate::Keep);
+    }
+
+    /// Takes back all that a client has asked for.
+    pub(super) fn withdraw_all(&mut self, key: Key) {
+        self.unask(|c| c.conn == key);
+        self.inbox.push_back(Input::Left(key));
+    }
+
     pub(super) fn any_client_owed(&self) -> bool {
         self.roles().any(|(_, role)| matches!(role, Role::Client(c) if !c.out.is_empty()))
     }
@@ -304,10 +355,13 @@
         let patience = if self.pool.fuller_than(CROWDED) { STUCK / 8 } else { STUCK };
         let stuck = conn.stream.stuck(self.now, patience);
         let left = conn.closing.is_some_and(|at| self.now > at + LEAVE);
-        let idle = conn.resting() && self.now > conn.used + IDLE;
+        let idle = self.now > conn.used + IDLE;
+        // Who has half a message on its way may still wait for answers.
         let partial = conn.awaited.is_some_and(|at| self.now > at + WHOLE);
-        if stuck || idle || partial || left {
+        if stuck || left {
             Fate::Close
+        } else if conn.closing.is_none() && conn.resting() && (idle || partial) && !conn.unread() {
+            Fate::Part
         } else {
             Fate::Keep
         }
--- a/crates/node/src/dns.rs
+++ b/crates/node/src/dns.rs
@@ -5,7 +5,7 @@
 use hollymux_decide::{Effect, RequestId};
 use hollymux_wire::dns::{self, Answer, Framer, Name, Query, Rcode};
 use hollymux_wire::routing::{self, Place as At};
-use rand_core::{RngCore, SeedableRng};
+use rand_core::RngCore;
 use std::net::IpAddr;
 
 /// A query that is not answered is sent again after this long, so many times in all.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -2,10 +2,13 @@
 
 use super::*;
 use hollymux_wire::control_feed::{call, Reader};
+use rand_core::RngCore;
 
-/// A comment arrives every second; silence for this long means that the connection is dead.
-const SILENCE: Time = 2_500 * MS;
-/// The first wait before the feed is called again; it doubles up to the longest.
+/// A comment arrives every second; silence for this long means that the connection is dead. Each call adds a part of its
+/// own, drawn at random, as does each wait: what falls silent for all routers at once is not called by all at once.
+const SILENCE: Time = 2_200 * MS;
+const SPREAD: Time = 600 * MS;
+/// The first wait before the feed is called again; it doubles up to the longest, and half to all of it is waited.
 const AGAIN: Time = 20 * MS;
 const AGAIN_MOST: Time = 500 * MS;
 
@@ -14,6 +17,8 @@
     reader: Reader,
     out: Chain,
     heard: Time,
+    /// The silence that is borne.
+    patience: Time,
 }
 
 impl Driver {
@@ -28,7 +33,8 @@
         let opened = opened.and_then(|()| dial(self.config.feed)).and_then(|socket| {
             let mut stream = Stream::new(socket, self.now);
             stream.waiting = true;
-            self.place(Role::Feed(Feed { stream, reader: Reader::default(), out, heard: self.now }))
+            let patience = SILENCE + self.rng.next_u64() % SPREAD;
+            self.place(Role::Feed(Feed { stream, reader: Reader::default(), out, heard: self.now, patience }))
         });
         match opened {
             Ok(key) => self.feed_key = Some(key),
@@ -48,7 +54,8 @@
     pub(super) fn feed_closed(&mut self) {
         self.feed_key = None;
         self.feed_wait = (self.feed_wait * 2).clamp(AGAIN, AGAIN_MOST);
-        self.wheel.set(self.now + self.feed_wait, Timer::Feed);
+        let wait = self.feed_wait / 2 + self.rng.next_u64() % (self.feed_wait / 2);
+        self.wheel.set(self.now + wait, Timer::Feed);
     }
 
     pub(super) fn on_feed(&mut self, feed: &mut Feed, flags: EventFlags) -> Fate {
@@ -93,7 +100,7 @@
     }
 
     pub(super) fn feed_round(&mut self, feed: &mut Feed) -> Fate {
-        if self.now > feed.heard + SILENCE {
+        if self.now > feed.heard + feed.patience {
             Fate::Close
         } else {
             Fate::Keep
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,13 +20,14 @@
 use handover::Peer;
 use hollymux_core::chain::{Chain, Pool, BUFFER};
 use hollymux_core::legacy::Legacy;
-use hollymux_core::lifecycle::{Event, Lifecycle, Phase, LINGER};
+use hollymux_core::lifecycle::{Event, Lifecycle, Phase, FAREWELL, LINGER};
 use hollymux_core::{AttemptId, Command, Ended, Input, Router, Told, Wake};
 use hollymux_decide::{HostId, Time, MS};
 use hollymux_record::{Head, Recorder, Sink};
 use hollymux_wire::dns::Name;
 use operations::DoorConn;
 use operator::Operator;
+use rand_core::SeedableRng;
 use rustix::event::epoll::{self, EventFlags};
 use rustix::event::Timespec;
 use rustix::fd::{AsFd, OwnedFd};
@@ -113,6 +114,8 @@
 enum Fate {
     Keep,
     Close,
+    /// A client's connection is shut, and read to its end.
+    Part,
 }
 
 /// The Unix clock in microseconds as it stood at the start, and steady from then on: a step of the system's
@@ -243,6 +246,8 @@
     /// When the control feed told something last.
     feed_told: Time,
     over: bool,
+    /// For what routers are not to do in step.
+    rng: rand_pcg::Pcg64Mcg,
     scratch: Vec<u8>,
 }
 
@@ -290,6 +295,7 @@
             shared: false,
             feed_told: 0,
             over: false,
+            rng: rand_pcg::Pcg64Mcg::seed_from_u64(config.seed ^ 0x6665_6564),
             scratch: vec![0; BUFFER],
             config,
             path,
@@ -344,9 +350,10 @@
     /// Serves until SIGTERM and what is open then is finished.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::with_capacity(EVENTS);
-        while !self.over {
+        loop {
             self.now = self.clock.now();
-            let wait = self.wheel.wait(self.now).unwrap_or(ROUND);
+            let ends = self.may_end();
+            let wait = if ends { 0 } else { self.wheel.wait(self.now).unwrap_or(ROUND) };
             let wait = Timespec {
                 tv_sec: i64::try_from(wait / 1_000_000).unwrap_or(1),
                 tv_nsec: (wait % 1_000_000 * 1_000) as _,
@@ -356,6 +363,10 @@
                 Ok(_) | Err(rustix::io::Errno::INTR) => {}
                 Err(e) => return Err(e.into()),
             }
+            // What has come while it made ready to end may be a request.
+            if ends && (self.over || events.is_empty()) {
+                break;
+            }
             events.sort_by_key(|e| self.turn(e.data.u64()));
             for event in &events {
                 self.now = self.clock.now();
@@ -405,11 +416,14 @@
                 if self.forebear.is_none() && !self.lifecycle.handed_over() {
                     self.open_fleet();
                 }
+                // Descriptors are counted for both processes of a replacement together.
+                while self.shared && self.clients > self.clients_most() && self.evict() {}
                 self.look_after();
             }
             Timer::Listen => self.listen_again(),
             Timer::Empty => {
                 if self.lifecycle.lingered(self.now) {
+                    self.accept_last();
                     self.close(self.listener);
                 }
                 self.look_after();
@@ -419,7 +433,10 @@
             Timer::Quiet => self.begin(false),
             Timer::Yours => self.began(),
             Timer::Fleet => self.fleet_turn(),
-            Timer::Over => self.over = true,
+            Timer::Over => {
+                self.over = true;
+                self.inbox.push_back(Input::End);
+            }
         }
         self.settle();
     }
@@ -494,10 +511,13 @@
             }
         }
         self.tell_heir();
-        let gone = self.lifecycle.drops() || self.clients == 0;
-        if self.lifecycle.lingered(self.now) && gone && self.router.idle() && !self.any_client_owed() {
-            self.over = true;
-        }
+    }
+
+    /// Whether nothing is left to do.
+    fn may_end(&self) -> bool {
+        let gone = self.clients == 0 || self.lifecycle.drops(self.now);
+        let done = self.lifecycle.lingered(self.now) && gone && self.router.idle() && !self.any_client_owed();
+        self.over || done
     }
 
     /// The order in which news is taken. After a stall much has come at once: first that a host takes no more work,
@@ -574,6 +594,7 @@
             self.live(Event::Stop);
             self.wheel.set(self.now + self.longest() + LINGER + FINISH, Timer::Over);
             self.wheel.set(self.now + LINGER, Timer::Empty);
+            self.wheel.set(self.now + LINGER + FAREWELL, Timer::Empty);
             info!("SIGTERM: finishing what is open");
         }
         Fate::Keep
@@ -710,8 +731,10 @@
         if let Some(place) = self.at(key) {
             place.role = Some(role);
         }
-        if fate == Fate::Close {
-            self.close(key);
+        match fate {
+            Fate::Keep => {}
+            Fate::Close => self.close(key),
+            Fate::Part => self.part(key),
         }
     }
 
@@ -725,8 +748,7 @@
         match role {
             Role::Client(_) => {
                 self.clients -= 1;
-                self.unask(|c| c.conn == key);
-                self.inbox.push_back(Input::Left(key));
+                self.withdraw_all(key);
             }
             Role::Shelf(s) => self.shelf_closed(key, s),
             Role::Feed(_) => self.feed_closed(),
