Pass on the idempotency key by which hosts tell repeats of a keyed class apart

Cause: a class of effect `dedup` has each request come with a field `token`, which a request to a shelf has to carry as `replay`.

Ruled out: names of classes, sizes of bodies, tags of copies (the other classes' requests were taken).

Change: the key goes with the request and is passed on as it came; one that could not be read as a field makes the request unusable.

--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -20,6 +20,8 @@
     pub budget: u64,
     /// The tag of the copy that the client holds.
     pub held: Option<Vec<u8>>,
+    /// The idempotency key, where the class has one: hosts tell repeats apart by it. It is passed on as it came.
+    pub key: Option<Vec<u8>>,
     /// The body of a write.
     pub body: Chain,
 }
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -309,6 +309,7 @@
             group: ask.group,
             budget: ask.budget_ms,
             held: None,
+            key: None,
             body: self.pool.chain(),
         };
         self.open.insert(ask.id, (router, ask.rid));
--- a/crates/wire/src/front.rs
+++ b/crates/wire/src/front.rs
@@ -11,7 +11,7 @@
 /// No client waits longer than this, in milliseconds; more is no usable field. The core knows its class's limit.
 const BUDGET_MOST: u64 = 3_600_000;
 
-/// A copy's tag holds at most so many bytes.
+/// A copy's tag or an idempotency key holds at most so many bytes.
 const TAG_MOST: usize = 64;
 
 /// A client's message.
@@ -84,8 +84,9 @@
     let object = field(&fields, "obj")?;
     // It is passed on as it came: a shelf must be able to read it.
     let usable = |v: &[u8]| v.len() <= TAG_MOST && v.iter().all(u8::is_ascii_alphanumeric);
-    let held = field(&fields, "ver").filter(|v| !v.is_empty()).map(<[u8]>::to_vec);
-    if !held.as_deref().is_none_or(usable) {
+    let tag = |name| field(&fields, name).filter(|v| !v.is_empty()).map(<[u8]>::to_vec);
+    let (held, key) = (tag("ver"), tag("token"));
+    if ![&held, &key].into_iter().flatten().all(|v| usable(v)) {
         return None;
     }
     Some(Ask {
@@ -95,6 +96,7 @@
         group: u32::try_from(number("lot")?).ok().filter(|g| *g < 256)?,
         budget: number("budget").filter(|b| (1..=BUDGET_MOST).contains(b))?,
         held,
+        key,
         class: std::mem::take(&mut frame.words[2]),
         body: frame.body,
     })
--- a/crates/wire/src/shelf.rs
+++ b/crates/wire/src/shelf.rs
@@ -84,6 +84,9 @@
     if let Some(held) = &ask.held {
         put("got", held);
     }
+    if let Some(key) = &ask.key {
+        put("replay", key);
+    }
     let mut head = Vec::with_capacity(256);
     array(&mut head, 4);
     bulk(&mut head, b"ASK");
