Write what waits before a connection is shut, and begin further connections where three are late

Cause: Fate::Part dropped answers that waited for a slow reader's socket; and with three late connections to a host whatever came next was put on one of them, as the emptiest, also when an earlier one had come up or the host was well again.

Change: a connection is shut once what waits is written; connections that are up come before late ones, and a further one is begun once the newest is late as well.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -165,9 +165,13 @@
     }
 
     pub(super) fn on_client(&mut self, key: Key, conn: &mut ClientConn, flags: EventFlags) -> Fate {
-        if flags.contains(EventFlags::OUT) && self.flush(key, &mut conn.stream, &mut conn.out) == Fate::Close
-        {
-            return Fate::Close;
+        if flags.contains(EventFlags::OUT) {
+            if self.flush(key, &mut conn.stream, &mut conn.out) == Fate::Close {
+                return Fate::Close;
+            }
+            if conn.closing.is_some() {
+                self.shut(conn);
+            }
         }
         if !flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
             return Fate::Keep;
@@ -314,10 +318,12 @@
         }
     }
 
-    /// Shuts a connection for writing; it is read to its end, and what comes is passed over.
+    /// Shuts a connection for writing, once what waits is written; it is read to its end, and what comes is passed over.
     fn shut(&mut self, conn: &mut ClientConn) {
-        conn.closing = Some(self.now);
-        let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
+        conn.closing = conn.closing.or(Some(self.now));
+        if conn.out.is_empty() {
+            let _shut = rustix::net::shutdown(&conn.stream.socket, rustix::net::Shutdown::Write);
+        }
     }
 
     /// Ends a connection whose client is out of step: what is open on it is withdrawn. Answers that are on their way
@@ -325,7 +331,6 @@
     pub(super) fn part(&mut self, key: Key) {
         let Some(Role::Client(mut conn)) = self.take(key) else { return };
         conn.owed.clear();
-        conn.out = self.pool.chain();
         self.withdraw_all(key);
         self.shut(&mut conn);
         self.put_back(key, Role::Client(conn), Fate::Keep);
--- a/crates/node/src/shelfs/dialing.rs
+++ b/crates/node/src/shelfs/dialing.rs
@@ -8,7 +8,8 @@
 const LATE: Time = 4;
 const LATE_LEAST: Time = 20 * MS;
 const LATE_MOST: Time = 100 * MS;
-/// With so many late connections to a host no further one is begun: there it is the host, or the way to it.
+/// With so many late connections to a host a further one is begun only when the newest is late as well: there it is the
+/// host, or the way to it.
 const LATE_DIALS: usize = 3;
 /// One that is not up after this long never will be.
 pub(super) const NEVER: Time = 2_500 * MS;
@@ -18,7 +19,7 @@
     pub(super) fn connection(&mut self, host: HostId, addr: SocketAddr, id: &[u8]) -> Result<Key, Lost> {
         match self.prompt(host, addr, id) {
             Ok(key) => Ok(key),
-            Err(e) => match self.least(host, id, |_| true) {
+            Err(e) => match self.least(host, id, |c| c.up).or_else(|| self.least(host, id, |_| true)) {
                 Some((_, key)) => {
                     self.wheel.set(self.now + self.late_after(host), Timer::Dial(key));
                     Ok(key)
@@ -39,9 +40,11 @@
             return Ok(key);
         }
         let keys = self.shelfs.get(&host).map_or(&[][..], |l| &l.keys);
-        let overdue = |k: &&Key| matches!(self.seen(**k), Some(Role::Shelf(c)) if c.late(now, late));
+        let conns = || keys.iter().filter_map(|k| self.seen(*k));
+        let overdue = conns().filter(|r| matches!(r, Role::Shelf(c) if c.late(now, late))).count();
+        let coming = conns().any(|r| matches!(r, Role::Shelf(c) if !c.up && !c.late(now, late)));
         let room = keys.len() < LINE_MOST && self.shelf_conns < self.shelfs_most();
-        if !room || keys.iter().filter(overdue).count() >= LATE_DIALS {
+        if !room || coming && overdue >= LATE_DIALS {
             return Err(None);
         }
         self.dial_shelf(host, addr).map_err(Some)
