Force crossings on sockets: stalls, ends, late connections, leaving, closes

Twelve tests with the order of two events forced: the process is stopped while both come, or a stand-in played by hand holds one back (tests/common/puppets.rs; a machine that takes no connections is a listener whose queue is full).

--- a/crates/hollymux/tests/common/mod.rs
+++ b/crates/hollymux/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The program as a process, and the stand-ins that it is spoken to by.
 #![allow(dead_code)]
 
+pub mod puppets;
 mod standins;
 
 pub use standins::*;
@@ -203,6 +204,21 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process where it is; what comes meanwhile waits in the system.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let stopped = |s: String| s.rsplit_once(')').is_some_and(|s| s.1.trim_start().starts_with('T'));
+        until("the process to stand still", || {
+            stopped(std::fs::read_to_string(&stat).unwrap()).then_some(())
+        });
+    }
+
+    /// Has it go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
     /// Waits for a line of its log that holds these words.
     pub fn says(&self, words: &str) -> String {
         until(words, || self.lines.try_iter().find(|l| l.contains(words)))
--- a/crates/hollymux/tests/common/standins.rs
+++ b/crates/hollymux/tests/common/standins.rs
@@ -317,6 +317,11 @@
         self.out.write_all(bytes).unwrap();
     }
 
+    /// Sends as much as the other side takes.
+    pub fn try_send(&mut self, bytes: &[u8]) {
+        let _part = self.out.write_all(bytes);
+    }
+
     pub fn ask(&mut self, tag: u32, class: &str, rid: u64, more: &str) {
         let fields = format!("rid={rid:016x},budget=1500,piece=0,lot=17{more}");
         let tag = tag.to_string();
