--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod legacy;
 pub mod lifecycle;
 pub mod members;
+pub mod orders;
 pub mod router;
 
 pub use ask::*;
 pub use follow::Found;
 pub use members::{host_id, Member, Told};
+pub use orders::*;
 pub use router::*;
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -1,6 +1,10 @@
 //! The core of a request router. It owns the decision module, the open requests and attempts, and the member
 //! list. Timed events go in, commands come out; it knows no wire, no socket and no clock.
 
+mod lookups;
+mod succession;
+mod told;
+
 use crate::ask::{Ask, Reply, Said, Wanted};
 use crate::classes::{Classes, Table};
 use crate::figures::{End, Figures};
@@ -8,6 +12,7 @@
 use crate::follow::{Follow, Found};
 use crate::legacy::{Filing, Legacy, Line};
 use crate::members::{Member, Told};
+use crate::orders::*;
 use hollymux_decide::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -19,246 +24,6 @@
 const TENANTS: usize = 4_096;
 /// A budget above this multiple of its class's deadline is no usable one.
 const PATIENCE: Time = 2;
-/// Who is owed an answer: a connection and the tag of a request on it. The core only gives it back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Client {
-    /// The connection.
-    pub conn: u64,
-    /// The tag.
-    pub tag: u64,
-}
-
-/// An attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptId {
-    /// The request.
-    pub request: RequestId,
-    /// Its number.
-    pub number: u16,
-}
-
-/// A host that was chosen, and what it is told of the fill.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// The host.
-    pub host: HostId,
-    /// Its name on the sockets.
-    pub uid: Rc<str>,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// The source of a fill by its name on the sockets.
-    pub source: Option<Rc<str>>,
-    /// Fill and keep.
-    pub fill: Fill,
-}
-
-/// An attempt as it is to be sent.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Which attempt it is.
-    pub attempt: AttemptId,
-    /// Where it goes.
-    pub target: Target,
-    /// Its time-out.
-    pub timeout: Time,
-    /// Its class by number.
-    pub class: u16,
-    /// What is asked.
-    pub ask: Rc<Ask>,
-    /// Who asks: nothing goes out for one who has left.
-    pub client: Client,
-    /// It may not go out after this: what may have run before is told apart as a repeat only for so long.
-    pub by: Option<Time>,
-}
-
-/// What a DNS answer told a follower: a box by name and address, and the fill as texts.
-#[derive(Debug)]
-pub struct Hint {
-    /// The box's name on the sockets, in lower case.
-    pub uid: String,
-    /// The box's address.
-    pub addr: SocketAddr,
-    /// The fill.
-    pub fill: FillHint,
-}
-
-/// A fill as a DNS answer tells it: the source is a name that may mean nothing here.
-#[derive(Debug, Default)]
-pub struct FillHint {
-    /// The source by name; none: no fill.
-    pub source: Option<String>,
-    /// The rank at which the copy is kept, 0 to 3.
-    pub keep: u8,
-    /// The oldest copy that will do.
-    pub max_age: Option<Time>,
-    /// Join a fill under way.
-    pub join: bool,
-    /// Serve an ageing copy and fetch it anew behind.
-    pub renew: bool,
-    /// The source gives only what it holds.
-    pub shallow: bool,
-}
-
-/// Who decides where a request goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mind {
-    /// The decision module.
-    Module,
-    /// Lookups at another router.
-    Follow,
-}
-
-/// What wakes the core.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wake {
-    /// A timer of the module or of the follower.
-    Mind(Mind, u64),
-    /// An attempt's time-out.
-    Attempt(AttemptId),
-}
-
-/// Why an attempt ended with no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lost {
-    /// The host refused a connection, so it never ran.
-    Refused,
-    /// No connection came up while one was waited for, so it never ran.
-    Late,
-    /// It was never written whole, so it never ran. That tells nothing of the host.
-    Unsent,
-    /// The connection ended after it was written whole.
-    Broken,
-}
-
-/// What the core is told.
-#[derive(Debug)]
-pub enum Input {
-    /// A client asks.
-    Ask(Client, Ask),
-    /// A client stops waiting.
-    Undo(Client),
-    /// A client's connection ended.
-    Left(u64),
-    /// A shelf answered an attempt.
-    Said(AttemptId, Said),
-    /// An attempt ended with no answer.
-    Lost(AttemptId, Lost),
-    /// A probe ended; none: nothing came back.
-    Probed(HostId, Option<bool>),
-    /// A lookup for a request ended.
-    Found(RequestId, Found<Hint>),
-    /// The control feed told something.
-    Told(Told),
-    /// A timer is due.
-    Wake(Wake),
-    /// The router ends: whatever is open gets its answer now.
-    End,
-}
-
-/// How a request was closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Closed {
-    /// Served with bytes.
-    Served,
-    /// Served: the client's copy is the one.
-    Unchanged,
-    /// Refused: it never ran.
-    Refused,
-    /// Failed.
-    Failed,
-    /// The client stopped waiting.
-    Withdrawn,
-    /// A lookup was answered with a box.
-    Named,
-}
-
-/// Why a request was closed as it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
-    /// As it was asked.
-    Asked,
-    /// Too much is open, or no further filing can be remembered.
-    NoRoom,
-    /// Its class, id or budget can't be used.
-    Unusable,
-    /// A filing of that id may have run.
-    MayHaveRun,
-    /// No box could be asked.
-    NoHost,
-    /// The last attempt ended like this.
-    Host(Status),
-    /// The client's connection or the buffers hold too much; it never came to a decision.
-    Crowded,
-}
-
-/// What became of a request; told once, when it is closed.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// The request; 0 if it was never opened.
-    pub request: RequestId,
-    /// What was asked for.
-    pub wanted: Wanted,
-    /// When it came.
-    pub arrived: Time,
-    /// How long the client would wait.
-    pub budget: Time,
-    /// How long it was open.
-    pub took: Time,
-    /// How it was closed.
-    pub result: Closed,
-    /// Why.
-    pub why: Why,
-    /// Bytes of the answer.
-    pub bytes: u64,
-    /// Attempts made.
-    pub attempts: u16,
-    /// The box that was asked last, by name.
-    pub host: Option<Rc<str>>,
-    /// The source named with it, by name.
-    pub source: Option<Rc<str>>,
-}
-
-/// An attempt that has ended.
-#[derive(Clone, Debug)]
-pub struct Tried {
-    /// Which it was.
-    pub attempt: AttemptId,
-    /// The box that was asked, by name.
-    pub host: Rc<str>,
-    /// The source named with it, by name.
-    pub source: Option<Rc<str>>,
-    /// How it ended.
-    pub status: Status,
-    /// How long it was out.
-    pub took: Time,
-}
-
-/// What the core wants done.
-#[derive(Debug)]
-pub enum Command {
-    /// Send an attempt.
-    Send(Order),
-    /// Give an attempt up.
-    Quit(AttemptId),
-    /// Give a client its final answer.
-    Reply(Client, Reply),
-    /// Wake the core at that time.
-    Wake(Time, Wake),
-    /// Look up where a request is to go.
-    Look(RequestId, Wanted),
-    /// Probe a host.
-    Probe(HostId, SocketAddr),
-    /// Close all connections to a host: its process is no longer there.
-    Drop(HostId),
-    /// A host takes nothing more: what has not gone out to it must not go.
-    Hold(HostId),
-    /// An attempt has ended: for the log.
-    Tried(Tried),
-    /// A request is closed: for the log and the recording.
-    Ended(Box<Ended>),
-    /// A line for the operator.
-    Log(String),
-}
 
 #[derive(Debug)]
 struct Open {
@@ -462,66 +227,6 @@
         self.control.share(u32::from(with_another));
     }
 
-    /// What another router needs to go on in this one's place; the driver adds the names of zones and kinds. From
-    /// now on `new_filings` tells what comes.
-    pub fn legacy(&mut self) -> Legacy {
-        let line = |(uid, m): &(Rc<str>, Member)| Line {
-            uid: uid.to_string(),
-            addr: m.addr,
-            zone: m.entry.zone,
-            kind: m.entry.kind,
-            cell: m.entry.cell,
-            weight: m.entry.weight,
-            draining: m.entry.state == HostState::Draining,
-            started: m.entry.started,
-        };
-        let mut members: Vec<Line> = self.members.values().map(line).collect();
-        members.sort_by(|a, b| a.uid.cmp(&b.uid));
-        let filing = |(rid, f): (&u64, &(Time, Option<HostId>))| (*rid, f.0, f.1.map(|h| h.0));
-        let mut filings: Vec<Filing> = self.filings.by_id.iter().map(filing).collect();
-        filings.sort_unstable_by_key(|f| (f.1, f.0));
-        self.filings.fresh = Some(Vec::new());
-        Legacy {
-            classes: self.classes.names().map(str::to_string).collect(),
-            members,
-            filings,
-            memory: self.control.remember(),
-            ..Legacy::default()
-        }
-    }
-
-    /// The requests that may not be repeated and came since this was asked last, if a legacy was handed over.
-    pub fn new_filings(&mut self) -> Vec<Filing> {
-        self.filings.fresh.as_mut().map(std::mem::take).unwrap_or_default()
-    }
-
-    /// Nobody is to hear of new filings any more.
-    pub fn keep_filings(&mut self) {
-        self.filings.fresh = None;
-    }
-
-    /// Requests that another router took and that may have run: they are never taken here.
-    pub fn recall_filings(&mut self, now: Time, filings: &[Filing]) {
-        for (rid, at, host) in filings {
-            let _room = self.filings.add((*at).min(now), *rid, host.map(HostId));
-        }
-    }
-
-    /// Goes on with another router's legacy, after its list of members was told here.
-    pub fn recall(&mut self, now: Time, legacy: &Legacy) {
-        self.recall_filings(now, &legacy.filings);
-        let mut memory = legacy.memory.clone();
-        let learnt = std::mem::take(&mut memory.classes);
-        // The newest slot of a name comes last there.
-        let by_name = |name: &str| legacy.classes.iter().zip(&learnt).rev().find(|(n, _)| *n == name);
-        memory.classes =
-            self.classes.names().map(|n| by_name(n).map(|l| l.1.clone()).unwrap_or_default()).collect();
-        self.control.recall(now, &memory);
-        if let Some(follow) = &mut self.follow {
-            follow.recall(now, &memory);
-        }
-    }
-
     /// Whether no request is open.
     pub fn idle(&self) -> bool {
         self.open.is_empty()
@@ -537,81 +242,6 @@
         &self.settings
     }
 
-    /// Goes on under other settings, whose classes have these names; what is impossible changes nothing.
-    pub fn retune(&mut self, settings: &Settings, names: &[String]) -> Result<(), SettingsError> {
-        settings.check()?;
-        let open = self.open.values().map(|o| o.wanted.class);
-        let held: BTreeSet<u16> = open.chain(self.out.values().map(|o| o.class)).collect();
-        let named = names.iter().cloned().zip(settings.classes.iter().cloned()).collect();
-        let Table { classes, from } = self.classes.change(named, &self.settings.classes, &held);
-        self.settings = Settings { classes, ..settings.clone() };
-        self.places = self.classes.names().map(|name| self.figures.place(name)).collect();
-        if let Some(follow) = &mut self.follow {
-            follow.retune(self.settings.clone());
-        }
-        self.control.retune(self.settings.clone(), &from)
-    }
-
-    /// The address of a box that takes work, by its name in any case.
-    pub fn standing(&self, uid: &[u8]) -> Option<SocketAddr> {
-        let mut named = self.members.values().filter(|m| m.0.as_bytes().eq_ignore_ascii_case(uid));
-        named.find(|m| takes_work(m))?.1.addr
-    }
-
-    /// Chooses a box for somebody who will go there himself. It counts as sent until its aim has passed; what
-    /// becomes of it is not known and teaches nothing.
-    pub fn lookup(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
-        let class = wanted.class;
-        let found = self.name(now, wanted, commands);
-        let end = match &found {
-            Found::Box(_) => End::Fulfilled,
-            Found::Refused => End::Throttled,
-            Found::Failed => End::Faulted,
-        };
-        self.count(class, end);
-        found
-    }
-
-    fn name(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
-        self.counters.lookups += 1;
-        let once = wanted.rid;
-        if let Some(known) = once.and_then(|rid| self.filings.by_id.get(&rid)) {
-            // One target for good: named again while it takes work, else nobody is.
-            let host = known.1.filter(|h| self.members.get(h).is_some_and(takes_work));
-            return host.and_then(|h| self.filing_target(h)).map_or(Found::Refused, Found::Box);
-        }
-        // Lookups cost their sender nothing: they must not use up what requests on the other front need.
-        let room = self.out.len() < OPEN_MOST
-            && (once.is_none() || self.filings.by_id.len() < self.filings.most / 2);
-        if !room {
-            return Found::Refused;
-        }
-        let class = wanted.class;
-        let deadline = now + self.settings.classes[usize::from(class)].deadline;
-        let id = self.begin(now, deadline, Mind::Module, wanted, None, commands);
-        let found = self.found.take();
-        if self.open.remove(&id).is_some() || matches!(found, Some(Found::Box(_))) {
-            self.drive(now, Mind::Module, Event::Withdrawn { request: id }, commands);
-        }
-        let found = found.unwrap_or(Found::Failed);
-        if let (Some(rid), Found::Box(target)) = (once, &found) {
-            if !self.filings.add(now, rid, Some(target.host)) {
-                return Found::Refused;
-            }
-        }
-        found
-    }
-
-    /// The target of a request that may not be repeated: what it is and that it runs at the origin.
-    fn filing_target(&self, host: HostId) -> Option<Target> {
-        let kind = self.settings.origin_kind;
-        let origin = self.members.iter().filter(|(_, m)| takes_work(m) && Some(m.1.entry.kind) == kind);
-        let source = origin.map(|(id, _)| *id).min();
-        let fill =
-            Fill { source, keep: 0, max_age: None, join: self.settings.joins, renew: false, shallow: false };
-        self.target(host, fill)
-    }
-
     /// A host and a source as they are on the sockets; none if one of them takes no work.
     fn target(&self, host: HostId, fill: Fill) -> Option<Target> {
         let ready = |id| self.members.get(&id).filter(|m| takes_work(m));
@@ -828,43 +458,6 @@
         }
     }
 
-    /// The member list is asked right before sending: an answer that names what takes no work, or stands
-    /// elsewhere by now, is no answer.
-    fn on_found(&mut self, now: Time, id: RequestId, found: Found<Hint>, commands: &mut Vec<Command>) {
-        let found = match found {
-            Found::Box(hint) => self.heed(&hint).map_or(Found::Failed, Found::Box),
-            Found::Refused => Found::Refused,
-            Found::Failed => Found::Failed,
-        };
-        let Some(follow) = &mut self.follow else { return };
-        let mut actions = Vec::new();
-        follow.found(now, id, found, &mut actions);
-        self.carry(now, Mind::Follow, actions, commands);
-    }
-
-    fn heed(&self, hint: &Hint) -> Option<(HostId, Fill)> {
-        let by_name = |uid: &str| {
-            let mut members = self.members.iter().filter(|(_, m)| m.0.eq_ignore_ascii_case(uid));
-            members.find(|(_, m)| takes_work(m))
-        };
-        let (host, _) = by_name(&hint.uid).filter(|(_, m)| m.1.addr == Some(hint.addr))?;
-        let told = &hint.fill;
-        let source = match &told.source {
-            Some(name) => Some(*by_name(name)?.0),
-            None => None,
-        };
-        let join = told.join && self.settings.joins;
-        let fill = Fill {
-            source,
-            keep: told.keep,
-            max_age: told.max_age,
-            join,
-            renew: told.renew,
-            shallow: told.shallow,
-        };
-        Some((*host, fill))
-    }
-
     fn outcome(
         &mut self,
         now: Time,
@@ -897,68 +490,6 @@
         }))
     }
 
-    fn on_told(&mut self, now: Time, told: Told, commands: &mut Vec<Command>) {
-        match told {
-            Told::Purge { object, group, at } => {
-                let purge = Purge { since: now.saturating_sub(at), object, group };
-                if self.follow.is_some() {
-                    self.drive(now, Mind::Follow, Event::Purged(purge.clone()), commands);
-                }
-                self.drive(now, Mind::Module, Event::Purged(purge), commands);
-            }
-            Told::Members { all, lines } => {
-                if all {
-                    let named: Vec<HostId> = lines.iter().map(|m| m.entry.id).collect();
-                    for (id, (_, m)) in self.members.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                        m.entry.state = HostState::Gone;
-                        commands.push(Command::Drop(*id));
-                    }
-                }
-                let mut entries = Vec::with_capacity(lines.len());
-                for mut line in lines {
-                    let id = line.entry.id;
-                    // Whoever had the address of one that is ready now has gone, told or not.
-                    let ready = line.entry.state == HostState::Ready && line.addr.is_some();
-                    for (old, (_, m)) in self.members.iter_mut() {
-                        if ready && *old != id && m.addr == line.addr && m.entry.state != HostState::Gone {
-                            m.entry.state = HostState::Gone;
-                            entries.push(m.entry.clone());
-                            commands.push(Command::Drop(*old));
-                        }
-                    }
-                    let old = self.members.get(&id).map(|m| &m.1);
-                    if let Some(old) = old {
-                        // A line that says less than the last one changes only what it says.
-                        line.addr = line.addr.or(old.addr);
-                        let moved = line.addr != old.addr || line.entry.started > old.entry.started;
-                        match line.entry.state {
-                            HostState::Gone => commands.push(Command::Drop(id)),
-                            HostState::Ready if moved => commands.push(Command::Drop(id)),
-                            HostState::Draining => commands.push(Command::Hold(id)),
-                            HostState::Ready => {}
-                        }
-                        if line.entry.state == HostState::Gone {
-                            line.entry = HostEntry { state: HostState::Gone, ..old.entry.clone() };
-                        }
-                    }
-                    if let Some(addr) = line.addr.filter(|_| ready) {
-                        let before = self.tenants.insert(addr, id);
-                        line.entry.in_place_of = before.filter(|b| *b != id);
-                    }
-                    entries.push(line.entry.clone());
-                    self.members.insert(id, (Rc::from(line.uid.as_str()), line));
-                }
-                let kind = if all { ListKind::Full } else { ListKind::Delta };
-                self.drive(now, Mind::Module, Event::Hosts { kind, entries }, commands);
-                let gone = |m: &(Rc<str>, Member)| m.1.entry.state == HostState::Gone;
-                self.members.retain(|_, m| !gone(m));
-                if self.tenants.len() > TENANTS {
-                    self.tenants.retain(|_, id| self.members.contains_key(id));
-                }
-            }
-        }
-    }
-
     /// Hands an event to whoever decides and carries the actions out.
     fn drive(&mut self, now: Time, mind: Mind, event: Event, commands: &mut Vec<Command>) {
         let mut actions = Vec::new();
--- /dev/null
+++ b/crates/core/src/router/lookups.rs
@@ -0,0 +1,108 @@
+//! Lookups: boxes that are chosen for somebody who goes there himself, and lookups at another router that are followed.
+
+use super::*;
+
+impl Router {
+    /// The address of a box that takes work, by its name in any case.
+    pub fn standing(&self, uid: &[u8]) -> Option<SocketAddr> {
+        let mut named = self.members.values().filter(|m| m.0.as_bytes().eq_ignore_ascii_case(uid));
+        named.find(|m| takes_work(m))?.1.addr
+    }
+
+    /// Chooses a box for somebody who will go there himself. It counts as sent until its aim has passed; what
+    /// becomes of it is not known and teaches nothing.
+    pub fn lookup(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
+        let class = wanted.class;
+        let found = self.name(now, wanted, commands);
+        let end = match &found {
+            Found::Box(_) => End::Fulfilled,
+            Found::Refused => End::Throttled,
+            Found::Failed => End::Faulted,
+        };
+        self.count(class, end);
+        found
+    }
+
+    fn name(&mut self, now: Time, wanted: Wanted, commands: &mut Vec<Command>) -> Found<Target> {
+        self.counters.lookups += 1;
+        let once = wanted.rid;
+        if let Some(known) = once.and_then(|rid| self.filings.by_id.get(&rid)) {
+            // One target for good: named again while it takes work, else nobody is.
+            let host = known.1.filter(|h| self.members.get(h).is_some_and(takes_work));
+            return host.and_then(|h| self.filing_target(h)).map_or(Found::Refused, Found::Box);
+        }
+        // Lookups cost their sender nothing: they must not use up what requests on the other front need.
+        let room = self.out.len() < OPEN_MOST
+            && (once.is_none() || self.filings.by_id.len() < self.filings.most / 2);
+        if !room {
+            return Found::Refused;
+        }
+        let class = wanted.class;
+        let deadline = now + self.settings.classes[usize::from(class)].deadline;
+        let id = self.begin(now, deadline, Mind::Module, wanted, None, commands);
+        let found = self.found.take();
+        if self.open.remove(&id).is_some() || matches!(found, Some(Found::Box(_))) {
+            self.drive(now, Mind::Module, Event::Withdrawn { request: id }, commands);
+        }
+        let found = found.unwrap_or(Found::Failed);
+        if let (Some(rid), Found::Box(target)) = (once, &found) {
+            if !self.filings.add(now, rid, Some(target.host)) {
+                return Found::Refused;
+            }
+        }
+        found
+    }
+
+    /// The target of a request that may not be repeated: what it is and that it runs at the origin.
+    fn filing_target(&self, host: HostId) -> Option<Target> {
+        let kind = self.settings.origin_kind;
+        let origin = self.members.iter().filter(|(_, m)| takes_work(m) && Some(m.1.entry.kind) == kind);
+        let source = origin.map(|(id, _)| *id).min();
+        let fill =
+            Fill { source, keep: 0, max_age: None, join: self.settings.joins, renew: false, shallow: false };
+        self.target(host, fill)
+    }
+
+    /// The member list is asked right before sending: an answer that names what takes no work, or stands
+    /// elsewhere by now, is no answer.
+    pub(super) fn on_found(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        found: Found<Hint>,
+        commands: &mut Vec<Command>,
+    ) {
+        let found = match found {
+            Found::Box(hint) => self.heed(&hint).map_or(Found::Failed, Found::Box),
+            Found::Refused => Found::Refused,
+            Found::Failed => Found::Failed,
+        };
+        let Some(follow) = &mut self.follow else { return };
+        let mut actions = Vec::new();
+        follow.found(now, id, found, &mut actions);
+        self.carry(now, Mind::Follow, actions, commands);
+    }
+
+    fn heed(&self, hint: &Hint) -> Option<(HostId, Fill)> {
+        let by_name = |uid: &str| {
+            let mut members = self.members.iter().filter(|(_, m)| m.0.eq_ignore_ascii_case(uid));
+            members.find(|(_, m)| takes_work(m))
+        };
+        let (host, _) = by_name(&hint.uid).filter(|(_, m)| m.1.addr == Some(hint.addr))?;
+        let told = &hint.fill;
+        let source = match &told.source {
+            Some(name) => Some(*by_name(name)?.0),
+            None => None,
+        };
+        let join = told.join && self.settings.joins;
+        let fill = Fill {
+            source,
+            keep: told.keep,
+            max_age: told.max_age,
+            join,
+            renew: told.renew,
+            shallow: told.shallow,
+        };
+        Some((*host, fill))
+    }
+}
--- a/crates/core/tests/interleavings.rs
+++ b/crates/core/tests/interleavings.rs
@@ -246,7 +246,7 @@
     fn leave(&mut self, conn: u64, cancels: bool) {
         let of = self.owed.keys().copied().filter(|c| c.conn == conn);
         let gone: Vec<Client> = of.take(if cancels { 1 } else { usize::MAX }).collect();
-        gone.iter().for_each(|c| drop(self.owed.remove(c)));
+        self.owed.retain(|c, _| !gone.contains(c));
         match gone.first().filter(|_| cancels) {
             Some(client) => self.feed(Input::Undo(*client)),
             None => self.feed(Input::Left(conn)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,12 +9,15 @@
 mod handover;
 mod operations;
 pub mod operator;
+mod places;
+mod reload;
 mod renewal;
 mod shelfs;
+mod sockets;
 mod wheel;
 
 use clients::ClientConn;
-use config::{Config, ConfigError};
+use config::Config;
 use dns::{DnsConn, Resolver};
 use feed::Feed;
 use handover::Peer;
@@ -27,6 +30,7 @@
 use hollymux_wire::dns::Name;
 use operations::DoorConn;
 use operator::Operator;
+use places::{fd, Place};
 use rand_core::SeedableRng;
 use rustix::event::epoll::{self, EventFlags};
 use rustix::event::Timespec;
@@ -34,12 +38,13 @@
 use rustix::net::{connect, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
 use shelfs::ShelfConn;
 use signal_hook::consts::{SIGHUP, SIGTERM};
+use sockets::{dial, listener, Clock, Stream};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
 use wheel::Wheel;
 
@@ -104,11 +109,6 @@
     Fleet(UdpSocket),
 }
 
-struct Place {
-    turn: u32,
-    role: Option<Role>,
-}
-
 /// What a connection's handler made of an event.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
@@ -118,88 +118,6 @@
     Part,
 }
 
-/// The Unix clock in microseconds as it stood at the start, and steady from then on: a step of the system's
-/// clock must neither stop the timers nor end all waits at once.
-struct Clock {
-    unix: Duration,
-    since: Instant,
-}
-
-impl Clock {
-    fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Clock { unix, since: Instant::now() }
-    }
-
-    fn now(&self) -> Time {
-        u64::try_from((self.unix + self.since.elapsed()).as_micros()).unwrap_or(u64::MAX)
-    }
-}
-
-/// A stream with what waits to be written on it.
-struct Stream<S = TcpStream> {
-    socket: S,
-    /// Waits for the socket to take more.
-    waiting: bool,
-    /// When the socket took something last.
-    moved: Time,
-}
-
-impl<S: Read + Write> Stream<S> {
-    fn new(socket: S, now: Time) -> Stream<S> {
-        Stream { socket, waiting: false, moved: now }
-    }
-
-    /// Whether it has waited for the other side to take something for that long.
-    fn stuck(&self, now: Time, long: Time) -> bool {
-        self.waiting && now > self.moved + long
-    }
-
-    /// Reads once; none: nothing there now. Zero bytes: the end.
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
-        loop {
-            match self.socket.read(buffer) {
-                Ok(n) => return Ok(Some(n)),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-    }
-
-    /// Writes as much of a chain as the socket takes; whether that was all.
-    fn write(&mut self, chain: &mut Chain, now: Time) -> io::Result<bool> {
-        if !self.waiting {
-            self.moved = now;
-        }
-        while !chain.is_empty() {
-            match self.socket.write(chain.front()) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    chain.advance(n);
-                    self.moved = now;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(true)
-    }
-}
-
-/// Starts a connection; it is up, or has failed, when the socket can be written.
-fn dial(addr: SocketAddr) -> io::Result<TcpStream> {
-    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
-    sockopt::set_tcp_nodelay(&socket, true)?;
-    match connect(&socket, &addr) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(TcpStream::from(socket)),
-        Err(e) => Err(e.into()),
-    }
-}
-
 /// One request router on its sockets.
 pub struct Driver {
     poll: OwnedFd,
@@ -600,41 +518,6 @@
         Fate::Keep
     }
 
-    /// Reads the configuration file again. Of a new file the settings and the feed's address apply; whatever is open,
-    /// known or learnt is kept. All of it applies or nothing.
-    fn read_again(&mut self) {
-        let new = Config::load(&self.path).and_then(|new| self.config.gives_way_to(&new).map(|()| new));
-        let applied = new.and_then(|new| {
-            let retuned = self.router.retune(&new.settings, &new.names.classes);
-            retuned.map(|()| new).map_err(ConfigError::from)
-        });
-        match applied {
-            Ok(new) => {
-                self.router.figures.cfg_accepted += 1;
-                info!("SIGHUP: {} classes; the control feed is at {}", new.names.classes.len(), new.feed);
-                let here = &mut self.config;
-                (here.feed, here.names) = (new.feed, new.names);
-                (here.streams, here.idle, here.file) = (new.streams, new.idle, new.file);
-                self.record_anew();
-                self.call_feed_anew();
-            }
-            Err(e) => {
-                self.router.figures.cfg_invalid += 1;
-                warn!("SIGHUP: the old configuration stays: {e}");
-            }
-        }
-    }
-
-    /// What is recorded has the classes in its head: other classes begin another file.
-    fn record_anew(&mut self) {
-        if self.recorder.take().is_some() {
-            match recorder(&self.operator, &self.config, &self.router) {
-                Ok(recorder) => self.recorder = recorder,
-                Err(e) => warn!("the load is not recorded any more: {e}"),
-            }
-        }
-    }
-
     /// Closes what is idle for too long, stuck, or no longer wanted.
     fn look_after(&mut self) {
         let keys: Vec<Key> = self.roles().map(|(key, _)| key).collect();
@@ -654,133 +537,6 @@
             self.put_back(key, role, fate);
         }
     }
-
-    /// Hands on what a connection has to read, up to so many buffers in a row: none starves the others.
-    fn read_from<C, S: Read + Write>(
-        &mut self,
-        conn: &mut C,
-        reads: usize,
-        stream: fn(&mut C) -> &mut Stream<S>,
-        mut hand: impl FnMut(&mut Driver, &mut C, &[u8]) -> Fate,
-    ) -> Fate {
-        let mut scratch = std::mem::take(&mut self.scratch);
-        scratch.resize(BUFFER, 0);
-        let mut fate = Fate::Keep;
-        for _ in 0..reads {
-            match stream(conn).read(&mut scratch) {
-                Ok(Some(0)) | Err(_) => fate = Fate::Close,
-                Ok(Some(n)) => fate = hand(self, conn, &scratch[..n]),
-                Ok(None) => break,
-            }
-            if fate != Fate::Keep {
-                break;
-            }
-        }
-        self.scratch = scratch;
-        fate
-    }
-
-    // ---- places ----
-
-    /// Whoever is in his place.
-    fn roles(&self) -> impl Iterator<Item = (Key, &Role)> + '_ {
-        let places = self.places.iter().enumerate();
-        places.filter_map(|(i, p)| Some((u64::from(p.turn) << 32 | i as u64, p.role.as_ref()?)))
-    }
-
-    /// Who is at a key, to be looked at.
-    fn seen(&self, key: Key) -> Option<&Role> {
-        let place = self.places.get((key & u64::from(u32::MAX)) as usize)?;
-        place.role.as_ref().filter(|_| u64::from(place.turn) == key >> 32)
-    }
-
-    fn place(&mut self, role: Role) -> io::Result<Key> {
-        let index = self.free.pop().unwrap_or_else(|| {
-            self.places.push(Place { turn: 0, role: None });
-            (self.places.len() - 1) as u32
-        });
-        let place = &mut self.places[index as usize];
-        let key = u64::from(place.turn) << 32 | u64::from(index);
-        let flags = match &role {
-            Role::Shelf(_) | Role::Feed(_) => EventFlags::IN | EventFlags::OUT,
-            _ => EventFlags::IN,
-        };
-        let data = epoll::EventData::new_u64(key);
-        if let Err(e) = epoll::add(&self.poll, fd(&role), data, flags) {
-            self.free.push(index);
-            return Err(e.into());
-        }
-        place.role = Some(role);
-        Ok(key)
-    }
-
-    fn at(&mut self, key: Key) -> Option<&mut Place> {
-        let place = self.places.get_mut((key & u64::from(u32::MAX)) as usize)?;
-        Some(place).filter(|p| u64::from(p.turn) == key >> 32)
-    }
-
-    fn role(&mut self, key: Key) -> Option<&mut Role> {
-        self.at(key)?.role.as_mut()
-    }
-
-    fn take(&mut self, key: Key) -> Option<Role> {
-        self.at(key)?.role.take()
-    }
-
-    fn put_back(&mut self, key: Key, role: Role, fate: Fate) {
-        if let Some(place) = self.at(key) {
-            place.role = Some(role);
-        }
-        match fate {
-            Fate::Keep => {}
-            Fate::Close => self.close(key),
-            Fate::Part => self.part(key),
-        }
-    }
-
-    /// Closes a connection and tells whom it concerns.
-    fn close(&mut self, key: Key) {
-        let Some(place) = self.at(key) else { return };
-        let Some(role) = place.role.take() else { return };
-        place.turn = place.turn.wrapping_add(1);
-        self.free.push((key & u64::from(u32::MAX)) as u32);
-        let _gone = epoll::delete(&self.poll, fd(&role));
-        match role {
-            Role::Client(_) => {
-                self.clients -= 1;
-                self.withdraw_all(key);
-            }
-            Role::Shelf(s) => self.shelf_closed(key, s),
-            Role::Feed(_) => self.feed_closed(),
-            Role::DnsConn(_) => self.clients -= 1,
-            Role::Listener(_) | Role::Signal(..) => {}
-            Role::DnsListener(_) | Role::DnsUdp(_) | Role::Resolver(_) => {}
-            Role::DoorListener(_) => self.door = None,
-            Role::DoorConn(_) | Role::Meeting(_) | Role::Fleet(_) => {}
-            Role::Heir(_) => self.heir_closed(),
-            Role::Forebear(_) => self.forebear_closed(),
-        }
-    }
-
-    /// Writes what waits, as far as the socket takes it, and asks to be told when it takes more.
-    fn flush(&mut self, key: Key, stream: &mut Stream, out: &mut Chain) -> Fate {
-        match stream.write(out, self.now) {
-            Ok(all) => {
-                self.wait_for(key, stream, !all);
-                Fate::Keep
-            }
-            Err(_) => Fate::Close,
-        }
-    }
-
-    /// Asks to be told when a socket takes more, or no longer.
-    fn wait_for<S: AsFd>(&mut self, key: Key, stream: &mut Stream<S>, more: bool) {
-        if stream.waiting != more {
-            stream.waiting = more;
-            let flags = if more { EventFlags::IN | EventFlags::OUT } else { EventFlags::IN };
-            let _told = epoll::modify(&self.poll, &stream.socket, epoll::EventData::new_u64(key), flags);
-        }
-    }
 }
 
 /// A third of the memory may lie in buffers; the module and the sockets need the rest.
@@ -788,20 +544,6 @@
     (config.memory_mb as usize) * (1 << 20) / 3 / BUFFER
 }
 
-/// A listener at the clients' address that does not keep another process from listening there as well: one that
-/// replaces this one but gets no answer from it.
-fn listener(addr: SocketAddr) -> io::Result<TcpListener> {
-    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
-    sockopt::set_socket_reuseaddr(&socket, true)?;
-    // Where it can't be had, a process that gets no answer can't listen.
-    let _shared = sockopt::set_socket_reuseport(&socket, true);
-    rustix::net::bind(&socket, &addr)?;
-    rustix::net::listen(&socket, BACKLOG)?;
-    Ok(TcpListener::from(socket))
-}
-
 /// What records the load, if the operator wants it recorded.
 fn recorder(operator: &Operator, config: &Config, router: &Router) -> io::Result<Option<Recorder>> {
     let Some(r) = &operator.record else { return Ok(None) };
@@ -811,19 +553,3 @@
     let sink = Sink::new(&r.dir, head, r.file_mb << 20, r.files)?;
     Recorder::start(sink, r.queue).map(Some)
 }
-
-fn fd(role: &Role) -> rustix::fd::BorrowedFd<'_> {
-    match role {
-        Role::Listener(l) => l.as_fd(),
-        Role::Signal(s, _) => s.as_fd(),
-        Role::Client(c) => c.stream.socket.as_fd(),
-        Role::Shelf(s) => s.stream.socket.as_fd(),
-        Role::Feed(f) => f.stream.socket.as_fd(),
-        Role::DnsUdp(s) | Role::Resolver(s) | Role::Fleet(s) => s.as_fd(),
-        Role::DnsListener(l) | Role::DoorListener(l) => l.as_fd(),
-        Role::DoorConn(c) => c.stream.socket.as_fd(),
-        Role::Meeting(l) => l.as_fd(),
-        Role::Heir(p) | Role::Forebear(p) => p.stream.socket.as_fd(),
-        Role::DnsConn(c) => c.stream.socket.as_fd(),
-    }
-}
