Call half-written requests off for good, and give resting connections' descriptors to another box

The one that rests longest makes way.

Each has a test that fails without its mend: the first inside the driver, as loopback sockets take a megabyte unread.

--- a/crates/hollymux/tests/crossings.rs
+++ b/crates/hollymux/tests/crossings.rs
@@ -281,6 +281,35 @@
     ended_well(node);
 }
 
+/// Guards against a box that gets no connection, as those to others that rest hold all descriptors for them.
+#[test]
+fn connections_that_rest_make_way_for_those_to_another_box() {
+    let (feed, puppets, b) = (Feed::start(), Puppets::start(1), Shelf::start(Does::Data(b"bytes".to_vec())));
+    feed.members(true, &[line("s-a", puppets.addrs[0], "std", "ready")]);
+    let node = Node::limited(&feed, 64);
+    let mut client = Client::connect(node.addr);
+    listed_there(&mut client, &puppets);
+    // One connection each, to the bound for 64 descriptors, which is 19.
+    for tag in 1..=24 {
+        client.ask(tag, "docs", u64::from(tag), &object(u64::from(tag)));
+    }
+    for held in (1..=24).map(|_| puppets.next()).collect::<Vec<_>>() {
+        held.say("data", b"bytes");
+    }
+    (1..=24).for_each(|_| assert!(client.answer().contains("good")));
+    feed.members(false, &[line("s-b", b.addr, "std", "ready")]);
+    std::thread::sleep(Duration::from_millis(200));
+    for tag in 101..=120 {
+        client.ask(tag, "docs", u64::from(tag), &object(u64::from(tag)));
+        if let Some(held) = puppets.soon() {
+            held.say("data", b"bytes");
+        }
+        assert!(client.answer().contains("good"));
+    }
+    assert!(b.count() > 0, "no request at the new box");
+    ended_well(node);
+}
+
 /// Guards against new settings that undo a drain, read while the box empties.
 #[test]
 fn a_drain_holds_over_sighup() {
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -1,6 +1,8 @@
 //! Connections to shelfs, parents and the origin.
 
 mod dialing;
+#[cfg(test)]
+mod tests;
 
 use super::*;
 use hollymux_core::figures::End;
@@ -168,6 +170,16 @@
         graces.map(|g| g.saturating_sub(SPARE).max(SPARE / 5)).fold(UNSENT, Time::min)
     }
 
+    /// Closes the connection to a shelf that has rested longest: another host needs its descriptor more.
+    fn evict_shelf(&mut self) -> bool {
+        let rests = |(key, role): (Key, &Role)| match role {
+            Role::Shelf(c) if c.up && c.open.is_empty() && c.queue.is_empty() => Some((c.used, key)),
+            _ => None,
+        };
+        let first = self.roles().filter_map(rests).min();
+        first.inspect(|(_, key)| self.close(*key)).is_some()
+    }
+
     /// The descriptors that are for connections to shelfs.
     pub(super) fn shelfs_most(&self) -> usize {
         let sockets = self.sockets();
@@ -204,7 +216,9 @@
         // repeated elsewhere, what may not can only wait.
         let once =
             |s: &Sent| matches!(s, Sent::Attempt(g) if class(g).is_some_and(|c| c.effect == Effect::Unsafe));
-        let ended = overdue && !conn.open.values().any(once);
+        // Part of it is written: the rest would have it run for one who may have left long before it is read.
+        let begun = conn.queue.iter().any(|m| m.errand.is_some_and(|e| e.id == attempt));
+        let ended = (overdue || begun) && !conn.open.values().any(once);
         conn.leaving |= overdue;
         conn.spend(id.clone());
         let fate = match shelf::quit(&pool, &id) {
--- a/crates/node/src/shelfs/dialing.rs
+++ b/crates/node/src/shelfs/dialing.rs
@@ -43,8 +43,10 @@
         let conns = || keys.iter().filter_map(|k| self.seen(*k));
         let overdue = conns().filter(|r| matches!(r, Role::Shelf(c) if c.late(now, late))).count();
         let coming = conns().any(|r| matches!(r, Role::Shelf(c) if !c.up && !c.late(now, late)));
-        let room = keys.len() < LINE_MOST && self.shelf_conns < self.shelfs_most();
-        if !room || coming && overdue >= LATE_DIALS {
+        if keys.len() >= LINE_MOST || coming && overdue >= LATE_DIALS {
+            return Err(None);
+        }
+        if self.shelf_conns >= self.shelfs_most() && !self.evict_shelf() {
             return Err(None);
         }
         self.dial_shelf(host, addr).map_err(Some)
