Do not take a write that was late alone for a library that can't keep up

With the debug log: 675 of 14,000 requests refused as nobody held them (Host(Miss)), all at one router, from 7 to 19 s. Of its two boxes one was slow or silent from 1.5 to 19 s (s-: 345 of 2,139 attempts overdue, filings 0.1 to 0.7 s), while filings by the other came in 0.1 s throughout. One filing of 0.7 s is over 0.7 of its aim and counts as two steps at once (relief.rs, weigh: late_write), then 5 s pass until all is asked for again.

Ruled out: the library (no refusals in excess, no stop), hubs (16 of 8,284 full), the replacement (0 requests ended at the door).

--- a/crates/decide/src/policy/choice.rs
+++ b/crates/decide/src/policy/choice.rs
@@ -71,12 +71,8 @@
             past.retain(|h| !o.bad.contains(&h.entry.id) && self.admits(now, h, work));
             let least = if spent { FILL_ROOM } else { 0.0 };
             if let Some(h) = past.iter().find(|h| self.room(now, &o.r, h) >= least) {
-                return Some(Plan(
-                    h.entry.id,
-                    origin.first().filter(|_| !spare).map(|o| o.entry.id),
-                    0,
-                    false,
-                ));
+                let source = origin.first().filter(|_| !spare).map(|o| o.entry.id);
+                return Some(Plan(h.entry.id, source, 0, false));
             }
             if safe && !past.is_empty() {
                 return None;
--- a/crates/decide/src/policy/relief.rs
+++ b/crates/decide/src/policy/relief.rs
@@ -79,10 +79,13 @@
         }
         let write = self.open.get(&out.request).is_some_and(|o| o.write);
         let overdue = out.latency >= self.overdue_after(r) && self.fleet.answered(t.host, t.sent);
+        let slow = write && secs(out.latency) > WRITE_AIM * self.aim(r);
+        // Another write that the origin answered in time meanwhile acquits it: the way there was slow.
+        let blame = write && self.relief.well <= t.sent;
         match out.status {
-            Status::Ok if write && secs(out.latency) > WRITE_AIM * self.aim(r) => self.relief.late_write(now),
+            Status::Ok if slow && blame => self.relief.late_write(now),
             Status::Ok => {
-                self.relief.well = if write { now } else { self.relief.well };
+                self.relief.well = if write && !slow { now } else { self.relief.well };
                 self.relief.learn(now, false, 1.0);
             }
             Status::Full if self.settings.notes == Notes::All => {
@@ -98,7 +101,7 @@
                     self.relief.learn(now, true, REFUSED);
                 }
             }
-            Status::Timeout | Status::Cancelled if write && overdue => self.relief.late_write(now),
+            Status::Timeout | Status::Cancelled if blame && overdue => self.relief.late_write(now),
             // A client that leaves early says nothing, nor does a cache that is silent altogether; and while
             // the origin answers writes in time, what is overdue waits for something else.
             Status::Timeout | Status::Cancelled if overdue && now >= self.relief.well + WELL => {
--- a/crates/decide/tests/relief.rs
+++ b/crates/decide/tests/relief.rs
@@ -104,6 +104,23 @@
     })
 }
 
+/// Guards against a box that is slow itself being taken for an origin that can't keep up: a write by another box, sent
+/// later and answered in time before, shows that it can. Writes that are all late acquit nobody.
+#[test]
+fn a_write_that_was_late_alone_spares_nobody() {
+    let mut bed = Bed::new();
+    let (slow, quick) = (bed.ask(FILING), bed.ask(FILING));
+    bed.now += 50 * MS;
+    bed.end(&quick, Status::Ok, 50 * MS);
+    bed.now += 400 * MS;
+    bed.end(&slow, Status::Ok, 550 * MS);
+    assert_eq!(bed.shallow(100), 0, "one box was slow");
+    let late: Vec<Sent> = (0..3).map(|_| bed.ask(FILING)).collect();
+    bed.now += 400 * MS;
+    late.iter().for_each(|s| drop(bed.end(s, Status::Ok, 500 * MS)));
+    assert!(bed.shallow(20) > 5, "all were late");
+}
+
 /// Guards against all routers together keeping the origin down: the writes of each tell it early.
 #[test]
 fn late_writes_have_parents_give_only_what_they_hold_and_time_brings_it_back() {
