End the connection of an attempt given up for a further one; read what answers tell of fills

The core never has two attempts out (crates/core/tests/interleavings.rs); what was given up before its class's aim had passed was called off by QUIT on a connection that stays (shelfs.rs, quit). On a way that is cut the request itself may not have arrived yet: it then arrives whole, ahead of its QUIT, while the further attempt is at work. Ruled out by reading: answers (an attempt that is answered has ended), refused and half-written ones (never whole), closes (the connection is gone before the next attempt is sent). Change: where the request is still open its attempt's connection ends with it, unless a filing is out on that; where its client has left QUIT is enough (Command::Quit, `again`). A driver test for both.

The module took every fill for an unknown one: parents' refusals and ends taught nothing there. Change: read, and handed on where the settings have it told. Tests: on sockets, told and not told; module, a refusal and a fill that broke off.

--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -127,8 +127,8 @@
     Undo(Client),
     /// A client's connection ended.
     Left(u64),
-    /// A shelf answered an attempt.
-    Said(AttemptId, Said),
+    /// A shelf answered an attempt, and what it said of the fill, if that is told.
+    Said(AttemptId, Said, Option<Note>),
     /// An attempt ended with no answer.
     Lost(AttemptId, Lost),
     /// A probe ended; none: nothing came back.
@@ -226,8 +226,13 @@
 pub enum Command {
     /// Send an attempt.
     Send(Order),
-    /// Give an attempt up.
-    Quit(AttemptId),
+    /// Give an attempt up; `again`: its request is still open and may be sent once more.
+    Quit {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// A further attempt may follow.
+        again: bool,
+    },
     /// Give a client its final answer.
     Reply(Client, Reply),
     /// Wake the core at that time.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -77,6 +77,20 @@
     named: bool,
 }
 
+/// How an attempt ended, and what its answer tells beside that.
+struct Ending {
+    status: Status,
+    /// The sending time of what came back, in seconds.
+    work: Option<f64>,
+    note: Option<Note>,
+}
+
+impl From<Status> for Ending {
+    fn from(status: Status) -> Ending {
+        Ending { status, work: None, note: None }
+    }
+}
+
 /// Counters for the operator; the last must stay 0.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counters {
@@ -264,7 +278,7 @@
                 let left: Vec<Client> = self.by_client.range(all).map(|(c, _)| *c).collect();
                 left.into_iter().for_each(|c| self.withdraw(now, c, commands));
             }
-            Input::Said(attempt, said) => self.on_said(now, attempt, said, commands),
+            Input::Said(attempt, said, note) => self.on_said(now, attempt, said, note, commands),
             Input::Lost(attempt, Lost::Refused) => self.end(now, attempt, Status::ConnectFailed, commands),
             Input::Lost(attempt, Lost::Late) => self.end(now, attempt, Status::Unreached, commands),
             Input::Lost(attempt, Lost::Unsent) => self.end(now, attempt, Status::Moot, commands),
@@ -283,7 +297,7 @@
             Input::Wake(Wake::Attempt(attempt)) => {
                 let named = self.out.get(&attempt).map(|o| o.named);
                 if named == Some(false) {
-                    commands.push(Command::Quit(attempt));
+                    commands.push(self.quit(attempt));
                 }
                 let status = if named == Some(true) { Status::Cancelled } else { Status::Timeout };
                 self.end(now, attempt, status, commands);
@@ -292,6 +306,10 @@
         }
     }
 
+    fn quit(&self, attempt: AttemptId) -> Command {
+        Command::Quit { attempt, again: self.open.contains_key(&attempt.request) }
+    }
+
     /// Answers whatever is open: nothing may be left when the router ends.
     fn end_all(&mut self, now: Time, commands: &mut Vec<Command>) {
         for request in std::mem::take(&mut self.by_client).into_values() {
@@ -412,7 +430,14 @@
         commands.push(Command::Reply(client, reply));
     }
 
-    fn on_said(&mut self, now: Time, attempt: AttemptId, said: Said, commands: &mut Vec<Command>) {
+    fn on_said(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        said: Said,
+        note: Option<Note>,
+        commands: &mut Vec<Command>,
+    ) {
         let request = attempt.request;
         let live = self.out.contains_key(&attempt) && self.open.contains_key(&request);
         let mut work = None;
@@ -435,25 +460,15 @@
                 Status::Ok
             }
         };
-        self.end_with(now, attempt, status, work, commands);
+        // What is not to be told by the settings is not believed.
+        let note = note.filter(|_| self.settings.notes != Notes::None);
+        self.end(now, attempt, Ending { status, work, note }, commands);
     }
 
     /// An attempt has ended; later news of it is no news.
-    fn end(&mut self, now: Time, attempt: AttemptId, status: Status, commands: &mut Vec<Command>) {
-        self.end_with(now, attempt, status, None, commands);
-    }
-
-    /// The same, with the sending time of what came back.
-    fn end_with(
-        &mut self,
-        now: Time,
-        attempt: AttemptId,
-        status: Status,
-        work: Option<f64>,
-        commands: &mut Vec<Command>,
-    ) {
+    fn end(&mut self, now: Time, attempt: AttemptId, ending: impl Into<Ending>, commands: &mut Vec<Command>) {
         let mind = self.out.get(&attempt).map(|o| o.mind);
-        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, status, work, commands)) {
+        if let (Some(mind), Some(outcome)) = (mind, self.outcome(now, attempt, ending, commands)) {
             self.drive(now, mind, outcome, commands);
         }
     }
@@ -462,11 +477,11 @@
         &mut self,
         now: Time,
         attempt: AttemptId,
-        status: Status,
-        work: Option<f64>,
+        ending: impl Into<Ending>,
         commands: &mut Vec<Command>,
     ) -> Option<Event> {
         let out = self.out.remove(&attempt)?;
+        let Ending { status, work, note } = ending.into();
         if let Some(open) = self.open.get_mut(&attempt.request) {
             open.last = Some(status);
             if !status.never_ran() {
@@ -485,7 +500,7 @@
             latency: now.saturating_sub(out.sent),
             status,
             ended: !self.open.contains_key(&attempt.request),
-            note: None,
+            note,
             work,
         }))
     }
@@ -522,8 +537,8 @@
                 if self.out.get(&attempt)?.named {
                     return None;
                 }
-                commands.push(Command::Quit(attempt));
-                return self.outcome(now, attempt, Status::Cancelled, None, commands);
+                commands.push(self.quit(attempt));
+                return self.outcome(now, attempt, Status::Cancelled, commands);
             }
             Action::Refuse { request, retry_after } => {
                 self.reply(now, request, Reply::Refused(retry_after.div_ceil(1_000)), commands)
@@ -571,7 +586,7 @@
             .insert(attempt, Out { mind, class, host, source: fill.source, sent: now, named: ask.is_none() });
         let Some(target) = self.target(host, fill) else {
             // It names what takes no work: it can't have run.
-            return self.outcome(now, attempt, Status::Moot, None, commands);
+            return self.outcome(now, attempt, Status::Moot, commands);
         };
         if let Some(open) = self.open.get_mut(&request) {
             open.tried = (Some(target.uid.clone()), target.source.clone());
--- a/crates/core/tests/interleavings.rs
+++ b/crates/core/tests/interleavings.rs
@@ -148,7 +148,15 @@
                 self.out.insert(order.attempt, self.now);
             }
             // Written whole or not: it may have run.
-            Command::Quit(attempt) => self.end(attempt, true),
+            Command::Quit { attempt, again } => {
+                let client = self.whose[&attempt.request];
+                assert_eq!(
+                    again,
+                    self.owed.contains_key(&client),
+                    "it is known whether it may be sent again"
+                );
+                self.end(attempt, true);
+            }
             Command::Reply(client, reply) => {
                 let asked = self.owed.remove(&client).expect("an answer that nobody is owed");
                 let ran = asked.ran.is_some() || self.out.keys().any(|a| self.whose[&a.request] == client);
@@ -202,11 +210,11 @@
         let from = if over { &self.past } else { &live };
         let Some(attempt) = from.get(pick % from.len().max(1)).copied() else { return };
         let (input, ran) = match how % 9 {
-            0 | 1 => (Input::Said(attempt, Said::Data(Some(b"d1".to_vec()), self.pool.chain())), true),
-            2 => (Input::Said(attempt, Said::Absent), false),
-            3 => (Input::Said(attempt, Said::Full), false),
-            4 => (Input::Said(attempt, Said::Failed), true),
-            5 => (Input::Said(attempt, Said::Moot), false),
+            0 | 1 => (Input::Said(attempt, Said::Data(Some(b"d1".to_vec()), self.pool.chain()), None), true),
+            2 => (Input::Said(attempt, Said::Absent, None), false),
+            3 => (Input::Said(attempt, Said::Full, None), false),
+            4 => (Input::Said(attempt, Said::Failed, None), true),
+            5 => (Input::Said(attempt, Said::Moot, None), false),
             6 => (Input::Lost(attempt, Lost::Broken), true),
             7 if pick.is_multiple_of(3) => (Input::Lost(attempt, Lost::Late), false),
             7 => (Input::Lost(attempt, Lost::Refused), false),
--- a/crates/decide/src/policy/outcomes.rs
+++ b/crates/decide/src/policy/outcomes.rs
@@ -10,8 +10,7 @@
 const ERRORS: usize = 3;
 /// From this share of lost answers among about the last LEARN on, an overdue one is asked for again...
 const LOST: f64 = 0.04;
-/// ...and from this on where hits are not told from fills: a fill in a jam looks lost as well, and asking
-/// again drops it and has the origin fetch it anew.
+/// ...and from this on where hits are not told: a fill in a jam looks lost too, and would be begun anew.
 const LOST_UNTOLD: f64 = 0.12;
 
 impl Control {
@@ -158,11 +157,12 @@
         let source = matches!(note, Some(SourceRefused | SourceLacks | OriginFailed | SourceUnreachable));
         // Without notes a refusal names both; the cache has just shown life.
         let unsaid = note.is_none() && self.settings.notes != Notes::All;
-        // A source that is down is known in about the time that a connection is waited for; where it is
-        // not said what went wrong, that time tells. Later failures may be a jam as well.
+        // Where it is not said what went wrong, time tells: about a dial is a source that is down.
         let (dial, unreached) = (self.settings.connect_timeout, note == Some(SourceUnreachable));
         let gone = latency < 2 * dial && (unreached || unsaid && latency >= dial);
-        let sign = if gone { Sign::unconnected(&self.settings, latency) } else { Sign::Slow };
+        // A refusal is told at once; a fill that broke off on its way proves no end of a process.
+        let broke = unreached && (dial / 4..dial).contains(&latency);
+        let sign = if gone && !broke { Sign::unconnected(&self.settings, latency) } else { Sign::Slow };
         if let Some(s) = t.source.filter(|_| unreached || unsaid) {
             self.strike(now, s, if unreached || gone { 1.0 } else { 0.5 }, sign);
         }
--- a/crates/decide/tests/module.rs
+++ b/crates/decide/tests/module.rs
@@ -120,11 +120,22 @@
         sent(&self.ask_of(object, 0, 0)).expect("an attempt")
     }
     fn end(&mut self, s: &Sent, attempt: u16, status: Status, note: Option<Note>) -> Vec<Action> {
+        self.end_after(s, attempt, status, note, 100 * MS)
+    }
+
+    fn end_after(
+        &mut self,
+        s: &Sent,
+        attempt: u16,
+        status: Status,
+        note: Option<Note>,
+        latency: Time,
+    ) -> Vec<Action> {
         self.event(Event::Outcome(Outcome {
             request: s.id,
             attempt,
             host: HostId(s.host),
-            latency: 100 * MS,
+            latency,
             status,
             ended: status == Status::Ok,
             note,
@@ -381,6 +392,34 @@
     }
 }
 
+/// Guards against a parent that is held to have started anew, and so to be cold, as fills from it broke off on their way:
+/// connections that are reset under fills tell that now and then. One that refuses them tells so at once.
+#[test]
+fn a_fill_that_broke_off_is_no_parents_end() {
+    for (told_after, cold) in [(5 * MS, true), (150 * MS, false), (350 * MS, false)] {
+        let settings = Settings { notes: Notes::All, connect_timeout: 400 * MS, ..settings() };
+        let mut bed = Bed::new(settings);
+        let homes = bed.homes();
+        let mine: Vec<u64> = homes.iter().filter(|h| h.1 .1 == 22).map(|h| *h.0).collect();
+        for object in mine.iter().take(2) {
+            bed.now += 20 * MS;
+            let s = bed.ask(*object);
+            let acts = bed.end_after(&s, 0, Status::Full, Some(Note::SourceUnreachable), told_after);
+            bed.end(&sent(&acts).unwrap(), 1, Status::Ok, Some(Note::Filled));
+        }
+        // It is back, if it was away: a request that names it is filled.
+        bed.now += 700 * MS;
+        let named = mine.iter().any(|object| {
+            let s = bed.ask(*object);
+            bed.end(&s, 0, Status::Ok, Some(Note::Filled));
+            s.fill.source == Some(HostId(22))
+        });
+        assert!(named);
+        let demands = bed.c.cold_demands(bed.now);
+        assert_eq!(demands.iter().any(|d| d.host == HostId(22)), cold, "{told_after}: {demands:?}");
+    }
+}
+
 /// Guards against a parent that is held to be cold after one error, with its fills sent where the objects are not,
 /// and against clients that take hosts out by asking for what nobody can use; errors of a request that another
 /// parent then serves are still a death.
--- a/crates/hollymux/tests/common/puppets.rs
+++ b/crates/hollymux/tests/common/puppets.rs
@@ -22,6 +22,13 @@
         (&self.out).write_all(&array(&[self.rid.as_bytes(), word.as_bytes(), b"digest=d1", body])).unwrap();
     }
 
+    /// An answer with no bytes, and these fields.
+    pub fn tell(&self, word: &str, fields: &str) {
+        (&self.out)
+            .write_all(&array(&[self.rid.as_bytes(), word.as_bytes(), fields.as_bytes(), b""]))
+            .unwrap();
+    }
+
     /// The shelf closes the connection.
     pub fn close(&self) {
         self.out.shutdown(std::net::Shutdown::Both).unwrap();
--- a/crates/hollymux/tests/crossings.rs
+++ b/crates/hollymux/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::puppets::{Puppets, Shut};
+use common::puppets::{Held, Puppets, Shut};
 use common::*;
 use std::time::{Duration, Instant};
 
@@ -353,6 +353,46 @@
     ended_well(node);
 }
 
+/// Guards against what answers tell of their fills going unread, where the settings say that it is told: a fill that its
+/// source refused is the source's refusal, and the next attempt names another one.
+#[test]
+fn what_answers_tell_of_their_fills_is_read_where_it_is_told() {
+    for tells in ["all", "none"] {
+        let (feed, puppets) = (Feed::start(), Puppets::start(3));
+        let [box_, p, q] = [0, 1, 2].map(|i| puppets.addrs[i]);
+        feed.members(
+            true,
+            &[
+                line("s-a", box_, "std", "ready"),
+                line("s-p", p, "parent", "ready"),
+                line("s-q", q, "parent", "ready"),
+            ],
+        );
+        let told = config(feed.addr)
+            .replace("\"tells\":\"none\"", &format!("\"tells\":\"{tells}\""))
+            .replace("\"neighbours\":\"any\"", "\"neighbours\":\"none\"");
+        let node = Node::configured(&told);
+        let mut client = Client::connect(node.addr);
+        listed_there(&mut client, &puppets);
+        client.ask(1, "docs", 0x77, &object(7));
+        let held = puppets.next();
+        held.tell("full", "remark=PEER_MISS,first=3");
+        let next = puppets.next();
+        next.say("data", b"some bytes");
+        assert!(client.answer().contains("good"));
+        let source = |h: &Held| h.fields.split(',').find(|f| f.starts_with("parent=")).map(str::to_string);
+        if tells == "all" {
+            // The box is well, its source lacks it.
+            assert_eq!(next.shelf, 0);
+            assert!(source(&next).is_some() && source(&next) != source(&held), "{}", next.fields);
+        } else {
+            // The box may have had no room itself.
+            assert_ne!(next.shelf, 0, "{}", next.fields);
+        }
+        ended_well(node);
+    }
+}
+
 /// Guards against a class whose repeats hosts tell apart by a key: they must be given it as it came.
 #[test]
 fn an_idempotency_key_is_passed_on() {
--- a/crates/lab/src/virtually.rs
+++ b/crates/lab/src/virtually.rs
@@ -478,7 +478,7 @@
     fn carry_out(&mut self, router: usize, command: Command, inbox: &mut VecDeque<Input>) {
         match command {
             Command::Send(order) => self.at(self.now + WAY, Event::Arrive(router, Box::new(order))),
-            Command::Quit(attempt) => {
+            Command::Quit { attempt, .. } => {
                 if let Some(id) = self.by_attempt.remove(&(router, attempt)) {
                     self.calls.remove(&id);
                     self.world.quit(self.now, id);
@@ -538,7 +538,7 @@
                 let Some(out) = self.calls.remove(&id) else { return };
                 self.by_attempt.remove(&(out.router, out.attempt));
                 let said = self.said(word, bytes, out.write);
-                self.feed(out.router, Input::Said(out.attempt, said));
+                self.feed(out.router, Input::Said(out.attempt, said, None));
             }
             Event::Fault(i, begins) => self.on_fault(i, begins),
             Event::Lost(router, attempt, lost) => self.feed(router, Input::Lost(attempt, lost)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -453,7 +453,7 @@
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send(order) => self.send(order),
-            Command::Quit(attempt) => self.quit(attempt),
+            Command::Quit { attempt, again } => self.quit(attempt, again),
             Command::Look(request, wanted) => self.look(request, &wanted),
             Command::Reply(client, reply) => self.answer(client, reply),
             Command::Wake(at, wake) => self.wheel.set(at, Timer::Core(wake)),
--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -201,7 +201,9 @@
         }
     }
 
-    pub(super) fn quit(&mut self, attempt: AttemptId) {
+    /// Gives an attempt up. Where a further one may follow its connection ends with it: what has not reached the shelf yet, as
+    /// the way there is cut, must not arrive when that one is out.
+    pub(super) fn quit(&mut self, attempt: AttemptId, again: bool) {
         let Some(key) = self.attempts.remove(&attempt) else { return };
         let (pool, now) = (self.pool.clone(), self.now);
         let Some(Role::Shelf(mut conn)) = self.take(key) else { return };
@@ -218,7 +220,7 @@
             |s: &Sent| matches!(s, Sent::Attempt(g) if class(g).is_some_and(|c| c.effect == Effect::Unsafe));
         // Part of it is written: the rest would have it run for one who may have left long before it is read.
         let begun = conn.queue.iter().any(|m| m.errand.is_some_and(|e| e.id == attempt));
-        let ended = (overdue || begun) && !conn.open.values().any(once);
+        let ended = (overdue || begun || again) && !conn.open.values().any(once);
         conn.leaving |= overdue;
         conn.spend(id.clone());
         let fate = match shelf::quit(&pool, &id) {
@@ -268,7 +270,7 @@
 
     fn shelf_bytes(&mut self, conn: &mut ShelfConn, mut bytes: &[u8]) -> Result<(), RespError> {
         while let Some(frame) = conn.decoder.feed(&mut bytes)? {
-            let (id, said) = shelf::said(frame)?;
+            let (id, said, note) = shelf::said(frame)?;
             conn.used = self.now;
             match (conn.open.remove(&id), said) {
                 (Some(Sent::Probe), Said::Probed(well)) => {
@@ -276,7 +278,7 @@
                 }
                 (Some(Sent::Attempt(given)), said) if given.whole && self.fits(&given, &said) => {
                     self.attempts.remove(&given.id);
-                    self.inbox.push_back(Input::Said(given.id, said));
+                    self.inbox.push_back(Input::Said(given.id, said, note));
                     conn.spend(id);
                 }
                 (Some(sent), _) => {
--- a/crates/wire/src/shelf.rs
+++ b/crates/wire/src/shelf.rs
@@ -3,6 +3,7 @@
 use crate::resp::{array, bulk, bulk_head, field, Decoder, Frame, RespError};
 use hollymux_core::chain::{Chain, Exhausted, Pool};
 use hollymux_core::{Order, Said, Target};
+use hollymux_decide::Note;
 
 /// An object holds at most so many bytes.
 pub const OBJECT_MOST: usize = 240_000;
@@ -17,8 +18,22 @@
     Decoder::new(pool, BODY_AT, OBJECT_MOST)
 }
 
-/// Reads an answer: the id and what is said of it.
-pub fn said(mut frame: Frame) -> Result<(Vec<u8>, Said), RespError> {
+/// What an answer may say of its fill, in the order of the simulator's numbers.
+const NOTES: [(&[u8], Note); 10] = [
+    (b"TCP_HIT", Note::Hit),
+    (b"TCP_MISS", Note::Filled),
+    (b"TCP_MISS_ROOT", Note::FilledByOrigin),
+    (b"TCP_JOIN", Note::Joined),
+    (b"TCP_STALE", Note::Stale),
+    (b"PEER_DENY", Note::SourceRefused),
+    (b"PEER_DEAD", Note::SourceUnreachable),
+    (b"PEER_MISS", Note::SourceLacks),
+    (b"FILL_FULL", Note::NoFillPlace),
+    (b"ROOT_FAIL", Note::OriginFailed),
+];
+
+/// Reads an answer: the id, what is said of it, and what of its fill, where that is told.
+pub fn said(mut frame: Frame) -> Result<(Vec<u8>, Said, Option<Note>), RespError> {
     if frame.words.len() < 2 {
         return Err(RespError::Malformed);
     }
@@ -36,7 +51,9 @@
         b"ill" => Said::Probed(false),
         _ => return Err(RespError::Malformed),
     };
-    Ok((std::mem::take(&mut frame.words[0]), said))
+    let remark = field(fields, "remark");
+    let note = NOTES.iter().find(|(word, _)| remark == Some(word)).map(|(_, note)| *note);
+    Ok((std::mem::take(&mut frame.words[0]), said, note))
 }
 
 /// Whether that may be said of such a request: bytes of a copy come with its tag, only a copy that was asked about
