--- a/crates/hollymux/tests/common/puppets.rs
+++ b/crates/hollymux/tests/common/puppets.rs
@@ -59,6 +59,16 @@
         kinds.iter().zip(&self.addrs).map(|((uid, kind), addr)| line(uid, *addr, kind, "ready")).collect()
     }
 
+    /// Has every request answered from now on, each in a thread of its own.
+    pub fn serve(self, answer: impl Fn(Held) + Clone + Send + 'static) {
+        thread::spawn(move || {
+            for held in self.asks {
+                let answer = answer.clone();
+                thread::spawn(move || answer(held));
+            }
+        });
+    }
+
     /// The next request at any of them.
     pub fn next(&self) -> Held {
         self.asks.recv_timeout(LONG).expect("a request at a shelf")
--- a/crates/hollymux/tests/together.rs
+++ b/crates/hollymux/tests/together.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use common::puppets::{Held, Puppets};
 use common::*;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -130,6 +132,101 @@
     drop(nodes);
 }
 
+/// Guards against further attempts for clients that left while their routers stood still, at several routers at once: what
+/// each sends on is counted over all of them.
+#[test]
+fn nobody_is_sent_on_for_clients_that_left_during_a_stall_of_all_routers() {
+    let (feeds, puppets) = ([Feed::start()], Puppets::start(3));
+    feeds[0].members(true, &puppets.lines());
+    let nodes = Node::all(&configs(&feeds, 6));
+    let mut held = Vec::new();
+    let leavers: Vec<Client> = nodes
+        .iter()
+        .enumerate()
+        .flat_map(|(n, node)| (0..4).map(move |k| (node.addr, 1 + 4 * n as u64 + k)))
+        .map(|(addr, n)| {
+            let mut client = Client::connect(addr);
+            // Until the list is known there requests are refused.
+            held.push(until("a request at a shelf", || {
+                client.ask(
+                    n as u32 + held.len() as u32 * 1_000,
+                    "docs",
+                    unix_ms() as u64 * 100 + n,
+                    &format!(",obj={n:016x}"),
+                );
+                puppets.soon()
+            }));
+            client
+        })
+        .collect();
+    nodes.iter().for_each(Node::freeze);
+    held.iter().for_each(|h| h.say("failed", b""));
+    drop(leavers);
+    thread::sleep(Duration::from_millis(600));
+    nodes.iter().for_each(Node::thaw);
+    let more: Vec<String> = puppets.rest().into_iter().map(|h| h.rid).collect();
+    assert!(more.is_empty(), "{} of {} sent on: {more:?}", more.len(), held.len());
+}
+
+/// Guards against large objects being given up for small ones: of a class's largest tenth two thirds as many are answered as
+/// of the class on a quiet day, and half as many while one of three boxes is silent.
+#[test]
+fn the_largest_objects_keep_their_share() {
+    const RATE: f64 = 310_000.0;
+    let (feeds, puppets) = ([Feed::start()], Puppets::start(3));
+    let kinds = ["s-a", "s-b", "s-c"].iter().zip(&puppets.addrs);
+    let lines: Vec<String> = kinds.map(|(uid, addr)| line(uid, *addr, "std", "ready")).collect();
+    feeds[0].members(true, &lines);
+    let silent = Arc::new(AtomicBool::new(false));
+    let quiet = silent.clone();
+    puppets.serve(move |held: Held| {
+        if held.shelf == 0 && quiet.load(Ordering::Relaxed) {
+            return;
+        }
+        // One in ten takes 0.7 s to send, the others 0.03 s.
+        let bytes = if held.rid.ends_with('0') { 220_000 } else { 9_000 };
+        thread::sleep(Duration::from_secs_f64(bytes as f64 / RATE));
+        held.say("data", &vec![b'x'; bytes]);
+    });
+    let nodes = Node::all(&configs(&feeds, 4));
+    let rids = AtomicU64::new(1);
+    // Requests and answers, of all and of the largest.
+    let play = |long: Duration| {
+        let [asked, served, large, large_served] = [(); 4].map(|()| AtomicU64::new(0));
+        let over = Instant::now() + long;
+        let client = |addr: SocketAddr| {
+            let mut client = Client::connect(addr);
+            let mut tag = 0;
+            while Instant::now() < over {
+                tag += 1;
+                // In decimal: one id in ten ends with 0.
+                let n = rids.fetch_add(1, Ordering::Relaxed);
+                let rid = u64::from_str_radix(&n.to_string(), 16).unwrap();
+                let good = u64::from(client.get(tag, "docs", rid, rid).contains("good"));
+                asked.fetch_add(1, Ordering::Relaxed);
+                served.fetch_add(good, Ordering::Relaxed);
+                if n % 10 == 0 {
+                    large.fetch_add(1, Ordering::Relaxed);
+                    large_served.fetch_add(good, Ordering::Relaxed);
+                }
+            }
+        };
+        thread::scope(|scope| {
+            for node in nodes.iter().flat_map(|n| [n, n, n]) {
+                let (client, addr) = (&client, node.addr);
+                scope.spawn(move || client(addr));
+            }
+        });
+        let counts = [asked, served, large, large_served].map(|c| c.into_inner() as f64);
+        (counts[1] / counts[0], counts[3] / counts[2].max(1.0), counts)
+    };
+    let (all, large, counts) = play(Duration::from_secs(4));
+    assert!(counts[2] >= 20.0 && all > 0.9 && large * 3.0 >= all * 2.0, "quiet: {counts:?}");
+    silent.store(true, Ordering::Relaxed);
+    let (all, large, counts) = play(Duration::from_secs(5));
+    assert!(counts[2] >= 20.0 && all > 0.5 && large * 2.0 >= all, "one box silent: {counts:?}");
+}
+
 /// Guards against idle clients that hold every descriptor while discovery is down: checks, connections to boxes, the feed
 /// and a process that replaces this one get theirs.
 #[test]
