--- a/crates/hollymux/tests/together.rs
+++ b/crates/hollymux/tests/together.rs
@@ -205,7 +205,7 @@
                 let good = u64::from(client.get(tag, "docs", rid, rid).contains("good"));
                 asked.fetch_add(1, Ordering::Relaxed);
                 served.fetch_add(good, Ordering::Relaxed);
-                if n % 10 == 0 {
+                if n.is_multiple_of(10) {
                     large.fetch_add(1, Ordering::Relaxed);
                     large_served.fetch_add(good, Ordering::Relaxed);
                 }
