Count fills in hand by their age also where answers tell them

Cause: a fill was counted at its parent once it was out for its class's mean time only where hits are not told (attempts.rs), else at its end, when its outcome named it (state.rs, Fleet::ended).

Change: by its age everywhere; one that was counted is not counted again at its end.

--- a/crates/decide/src/control.rs
+++ b/crates/decide/src/control.rs
@@ -13,8 +13,8 @@
 pub(crate) const OUT: Time = 500 * MS;
 /// The most further attempts saved up: enough for one host's loss at once.
 pub(crate) const RETRY_SAVE: f64 = 40.0;
-/// Where hits are not told from fills, an attempt that has been out for this many of its class's mean sending
-/// times counts as a fill in hand at the parent that it names.
+/// Hits are told from fills at their end at the earliest: an attempt that has been out for this many of its
+/// class's mean sending times counts as a fill in hand at the parent that it names.
 pub(crate) const FILLING: f64 = 1.0;
 /// A class's mean sending time is that of so many of its last requests.
 pub(crate) const LEARN: f64 = 50.0;
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -78,7 +78,7 @@
         let look = self.overdue_after(&o.r) / if trial { 2 } else { 1 };
         let token = u64::from(id) << 16 | o.tries.len() as u64;
         acts.push(Action::timer(look, token));
-        if self.settings.notes == Notes::None && source.is_some_and(|s| self.is_parent(s)) {
+        if source.is_some_and(|s| self.is_parent(s)) {
             acts.push(Action::timer((sends * FILLING * SEC as f64) as Time, token | MAY_FILL));
         }
         let source = source.filter(|s| *s != host);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -425,7 +425,7 @@
             if t.filling {
                 h.hold(now, FILL_MEMORY, false);
             }
-            if matches!(out.note, Some(Note::Filled | Note::FilledByOrigin)) {
+            if !t.filling && matches!(out.note, Some(Note::Filled | Note::FilledByOrigin)) {
                 // Only its outcome tells that an attempt was a fill.
                 h.spend(now, FILL_MEMORY, out.latency);
             }
--- a/crates/decide/tests/scale.rs
+++ b/crates/decide/tests/scale.rs
@@ -480,6 +480,20 @@
     assert_eq!(unfilled(2), (0, 0));
 }
 
+/// Guards against fills that are known at their end only, where answers tell them: until then nobody counts them, and a
+/// parent gets more than it can send.
+#[test]
+fn fills_are_counted_by_their_age_whether_they_are_told_or_not() {
+    for notes in [Notes::None, Notes::Hit, Notes::All] {
+        let mut bed = Bed::new(Settings { notes, ..settings(14, 300) }, 5);
+        let r = Request { id: 1, object: 1, deadline: bed.now + 5 * SEC, ..Request::default() };
+        let acts = bed.event(Event::Request(r));
+        assert!(sent(&acts, 0).unwrap().source.is_some());
+        let by_age = timers(&acts, 0).into_iter().filter(|t| t.1 & 0xffff == 0x8000).count();
+        assert_eq!(by_age, 1, "{notes:?}");
+    }
+}
+
 /// Guards against taking a jam for large objects: the bytes that came tell the sending time, whatever it took.
 #[test]
 fn a_jam_does_not_change_what_a_class_is_held_to_take() {
