Take back what waits for one reason only: it was not sent

Need: a reading of the change. unsend was handed the reason of a loss, which was the same at both calls; late connections tell theirs in dialing.rs. Behaviour is the same.

--- a/crates/node/src/shelfs.rs
+++ b/crates/node/src/shelfs.rs
@@ -314,7 +314,7 @@
                 let waited = errand.id.number > 0 || now > message.decided;
                 let late = now > message.decided + self.patience() || errand.by.is_some_and(|by| now > by);
                 if late || waited && self.has_left(errand.client) {
-                    self.unsend(conn, errand.id, Lost::Unsent);
+                    self.unsend(conn, errand.id);
                     continue;
                 }
             }
@@ -348,11 +348,11 @@
     }
 
     /// Takes back an attempt of which nothing has gone out.
-    fn unsend(&mut self, conn: &mut ShelfConn, attempt: AttemptId, lost: Lost) {
+    fn unsend(&mut self, conn: &mut ShelfConn, attempt: AttemptId) {
         if conn.unqueue(attempt) {
             conn.open.retain(|_, s| !s.is(attempt));
             self.attempts.remove(&attempt);
-            self.inbox.push_back(Input::Lost(attempt, lost));
+            self.inbox.push_back(Input::Lost(attempt, Lost::Unsent));
         }
     }
 
@@ -383,7 +383,7 @@
         };
         for (key, unsent) in self.roles().filter_map(waits).collect::<Vec<_>>() {
             let Some(Role::Shelf(mut conn)) = self.take(key) else { continue };
-            unsent.into_iter().for_each(|a| self.unsend(&mut conn, a, Lost::Unsent));
+            unsent.into_iter().for_each(|a| self.unsend(&mut conn, a));
             self.put_back(key, Role::Shelf(conn), Fate::Keep);
         }
     }
