--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod buffers;
 mod common;
 mod settings;
+mod tags;
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -61,6 +62,7 @@
     log!("case {case}, {} the disruption", if trouble { "with" } else { "without" });
     let setup = Setup { trouble, temp };
     let verdict = match case {
+        "tags" => tags::play(&setup)?,
         "buffers" => buffers::play(&setup)?,
         _ => return Err(io::Error::other("no such case")),
     };
