Review case 3: from 5 s after a purge on, copies past their fresh time are asked for

The age of a copy that will do is bounded by the purge alone, up to 7 s; a class that is fresh for 5 s and has no time of grace gets copies of 5.4 to 5.9 s.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
+# Exit code: 1 the rule was broken, 0 it held, 2 the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/standin ] && [ -x target/release/hollymux ] || { echo "build first: see review/REPORT.md"; exit 2; }
+exec target/review/standin stale review/3
