Review case 3: after a replacement a slow feed makes a draining cache box ready again

A cache box joins, drains, and the process is replaced. The new process takes the drain over, then replays the feed from its configuration and comes to the event by which the box had joined after it has begun to serve. With a feed that tells 34 events in 8.5 s it sends a third of the requests to the box.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -37,11 +37,6 @@
     Ok(())
 }
 
-/// Milliseconds since the record was opened.
-pub fn elapsed_millis() -> u64 {
-    RECORD.get().map_or(0, |(_, start)| start.elapsed().as_millis() as u64)
-}
-
 pub fn record(line: &str) {
     if let Some((file, start)) = RECORD.get() {
         let at = start.elapsed();
@@ -241,10 +236,8 @@
 pub enum FeedMode {
     /// Sends what is missing at once, then each new event, and a comment every second.
     Sound,
-    /// Sends the events up to this number, then nothing more, with the connection open.
-    StopsAfter(u64),
-    /// Accepts no connection.
-    Down,
+    /// Sends what is missing one event at a time, with this much time before each.
+    Paced(Duration),
 }
 
 pub struct Feed {
@@ -289,9 +282,6 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mode = *self.mode.lock().expect("mode");
-        if mode == FeedMode::Down {
-            return Ok(());
-        }
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut after = 0u64;
         loop {
@@ -308,20 +298,27 @@
         }
         log!("feed: a watch begins after event {after}");
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
-        let last = if let FeedMode::StopsAfter(last) = mode { last } else { u64::MAX };
         let mut next_comment = Instant::now();
+        let mut next_event = Instant::now();
         loop {
-            let fresh: Vec<(u64, String)> = {
+            let pending: Vec<String> = {
                 let events = self.events.lock().expect("events");
-                let numbered = events.iter().enumerate().map(|(index, event)| (index as u64 + 1, event));
-                let wanted = numbered.filter(|(number, _)| *number > after && *number <= last);
-                wanted.map(|(number, event)| (number, event.clone())).collect()
+                events.iter().skip(after as usize).cloned().collect()
             };
-            for (number, event) in fresh {
-                stream.write_all(format!("id: {number}\ndata: {event}\n\n").as_bytes())?;
-                after = number;
+            for event in pending {
+                if let FeedMode::Paced(pause) = mode {
+                    if Instant::now() < next_event {
+                        break;
+                    }
+                    next_event = Instant::now() + pause;
+                }
+                after += 1;
+                stream.write_all(format!("id: {after}\ndata: {event}\n\n").as_bytes())?;
+                if mode != FeedMode::Sound {
+                    log!("feed: the slow watch is told event {after}");
+                }
             }
-            if last == u64::MAX && Instant::now() >= next_comment {
+            if Instant::now() >= next_comment {
                 stream.write_all(b": still here\n\n")?;
                 next_comment += Duration::from_secs(1);
             }
@@ -548,7 +545,6 @@
     pub class: String,
     pub budget: Duration,
     pub written: Instant,
-    pub written_millis: u64,
     pub others_open: usize,
     pub end: Option<End>,
 }
@@ -615,7 +611,6 @@
                 class: request.class.to_string(),
                 budget: request.budget,
                 written: Instant::now(),
-                written_millis: unix_millis(),
                 others_open,
                 end: None,
             };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,8 +3,8 @@
 
 mod buffers;
 mod common;
+mod handover;
 mod settings;
-mod stale;
 mod tags;
 
 use std::io;
@@ -65,7 +65,7 @@
     let verdict = match case {
         "tags" => tags::play(&setup)?,
         "buffers" => buffers::play(&setup)?,
-        "stale" => stale::play(&setup)?,
+        "handover" => handover::play(&setup)?,
         _ => return Err(io::Error::other("no such case")),
     };
     Ok(common::conclude(&verdict))
--- a/review/standin/settings.rs
+++ b/review/standin/settings.rs
@@ -19,23 +19,3 @@
   "retryAfter":true,"secondCopies":false,"sendCap":6,"streamsPerConn":32},
  "rules":{"coldFrom":0.18,"drainGrace":500000,"graceToAnswer":8000,"overloadFactor":2.5,"tipAfter":1500000,
   "warmAfter":17000000}}"#;
-
-/// Branch offices: recordings, page files (fresh for 5 s, no time of grace) and sign-offs.
-pub const BRANCH: &str = r#"{"az":2,"groupSize":1,"tick":2000,"discovery":"push","weightSource":"nominal",
- "failureDomains":["hub-east","hub-west","branch-1"],"models":["std-box","parent","origin"],
- "classes":[
-  {"name":"recording-part","effect":"retryable","onTime":500000,"aimStretch":1.6,"hardLimit":6000000,
-   "lateShare":0.15,"worth":2.0,"stream":false},
-  {"name":"page-file","effect":"retryable","onTime":300000,"aimStretch":2.0,"hardLimit":2500000,
-   "lateShare":0.2,"worth":1.0,"stream":false},
-  {"name":"sign-off","effect":"fragile","onTime":600000,"hardLimit":3000000,
-   "lateShare":0.0,"worth":3.0,"stream":false}],
- "familyInfo":{"bypassAllowed":false,"classParts":[true,false,false],"classWrite":[false,false,true],
-  "clearedWithin":6000000,"countByZone":[0,0,1],"flowKbPerS":2800.0,"maxAge":[0,5000000,0],
-  "neighbours":"location","originFall":3000000,"originFallMultiple":2.5,"parentFallMultiple":2.0,
-  "parentFloor":0.064,"purgeSlack":500000,"sharesFills":true,"shieldKind":1,"staleEarns":[0.7,0.7,0.7],
-  "storeKind":2,"tells":"hit","upperCold":22000000,"usableAfter":[0,0,0],"zoneHub":[0,1,0]},
- "limits":{"cancel":true,"dialTimeout":400000,"idleClose":30000000,"maxRetryAfter":1000000,"probes":false,
-  "retryAfter":true,"secondCopies":true,"sendCap":6,"streamsPerConn":32},
- "rules":{"coldFrom":0.18,"drainGrace":2000000,"graceToAnswer":8000,"overloadFactor":4.0,"tipAfter":3000000,
-  "warmAfter":16000000}}"#;
