--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -1,7 +1,7 @@
 //! Parts that all cases share: the record, the router as a separate process, the endpoint feed,
 //! edge caches with a simple cache model, and clients of the platform's protocol.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -21,7 +21,6 @@
 const SET_PARENT_DEATH_SIGNAL: i32 = 1;
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 
 /// Ids of the processes that this program has started and not reaped.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -231,19 +230,9 @@
 // ---------------------------------------------------------------------------------------------
 // The endpoint feed.
 
-/// How the feed treats a watch.
-#[derive(Clone, Copy, PartialEq)]
-pub enum FeedMode {
-    /// Sends what is missing at once, then each new event, and a comment every second.
-    Sound,
-    /// Sends what is missing one event at a time, with this much time before each.
-    Paced(Duration),
-}
-
 pub struct Feed {
     pub address: SocketAddr,
     events: Mutex<Vec<String>>,
-    mode: Mutex<FeedMode>,
 }
 
 impl Feed {
@@ -252,7 +241,6 @@
         let feed = Arc::new(Feed {
             address: listener.local_addr().expect("address"),
             events: Mutex::new(Vec::new()),
-            mode: Mutex::new(FeedMode::Sound),
         });
         let shared = feed.clone();
         std::thread::spawn(move || {
@@ -266,11 +254,6 @@
         feed
     }
 
-    /// How watches that begin from now on are treated.
-    pub fn set_mode(&self, mode: FeedMode) {
-        *self.mode.lock().expect("mode") = mode;
-    }
-
     /// Adds an event (JSON without `n`) and returns its number.
     pub fn publish(&self, body: &str) -> u64 {
         let mut events = self.events.lock().expect("events");
@@ -281,7 +264,6 @@
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        let mode = *self.mode.lock().expect("mode");
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut after = 0u64;
         loop {
@@ -299,24 +281,14 @@
         log!("feed: a watch begins after event {after}");
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         let mut next_comment = Instant::now();
-        let mut next_event = Instant::now();
         loop {
             let pending: Vec<String> = {
                 let events = self.events.lock().expect("events");
                 events.iter().skip(after as usize).cloned().collect()
             };
             for event in pending {
-                if let FeedMode::Paced(pause) = mode {
-                    if Instant::now() < next_event {
-                        break;
-                    }
-                    next_event = Instant::now() + pause;
-                }
                 after += 1;
                 stream.write_all(format!("id: {after}\ndata: {event}\n\n").as_bytes())?;
-                if mode != FeedMode::Sound {
-                    log!("feed: the slow watch is told event {after}");
-                }
             }
             if Instant::now() >= next_comment {
                 stream.write_all(b": still here\n\n")?;
@@ -343,31 +315,17 @@
 // ---------------------------------------------------------------------------------------------
 // Edge caches, parent caches and the origin.
 
-/// What a shelf read of one attempt.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    pub at: Instant,
-    pub uid: String,
-    pub rid: String,
-    pub fields: String,
-}
-
-/// What the servers share: their log of attempts and the copies by version tag.
+/// What the servers share: the origin's counter of copies.
 #[derive(Default)]
 pub struct World {
-    pub asks: Mutex<Vec<Ask>>,
-    /// The Unix millisecond at which the origin gave out the copy with this tag.
-    pub dated: Mutex<HashMap<String, u64>>,
     next_tag: AtomicU64,
 }
 
 impl World {
     /// Makes a new copy at the origin and returns its tag and date.
     fn new_copy(&self) -> (String, u64) {
-        let tag = format!("{:016x}", self.next_tag.fetch_add(1, Ordering::Relaxed) + 0xabc0_0000_0000);
-        let dated = unix_millis();
-        self.dated.lock().expect("dated").insert(tag.clone(), dated);
-        (tag, dated)
+        let number = self.next_tag.fetch_add(1, Ordering::Relaxed);
+        (format!("{:016x}", number + 0xabc0_0000_0000), unix_millis())
     }
 }
 
@@ -439,13 +397,6 @@
                 "ASK" => {
                     let (id, fields) = (text(1), text(2));
                     log!("{}: ASK {id} {fields} ({} bytes)", self.uid, words.get(3).map_or(0, Vec::len));
-                    let ask = Ask {
-                        at: Instant::now(),
-                        uid: self.uid.clone(),
-                        rid: id.clone(),
-                        fields: fields.clone(),
-                    };
-                    self.world.asks.lock().expect("asks").push(ask);
                     let (shelf, writer) = (self.clone(), writer.clone());
                     let (given_up, closed) = (given_up.clone(), closed.clone());
                     std::thread::spawn(move || {
@@ -551,7 +502,8 @@
 
 /// One connection of a client.
 pub struct Connection {
-    stream: TcpStream,
+    /// `None` once it is closed.
+    stream: Option<TcpStream>,
     sent: Arc<Mutex<BTreeMap<u64, Sent>>>,
     ended: Arc<AtomicBool>,
     pub name: String,
@@ -572,7 +524,7 @@
         let (reader, shared, flag) = (stream.try_clone()?, sent.clone(), ended.clone());
         let label = name.to_string();
         std::thread::spawn(move || read_answers(reader, &shared, &flag, &label));
-        Ok(Connection { stream, sent, ended, name: name.to_string() })
+        Ok(Connection { stream: Some(stream), sent, ended, name: name.to_string() })
     }
 
     pub fn has_ended(&self) -> bool {
@@ -584,7 +536,7 @@
     }
 
     pub fn ping(&mut self, tag: u64) -> io::Result<()> {
-        self.stream.write_all(&encode(&[b"PING", tag.to_string().as_bytes(), b""]))
+        self.write(&encode(&[b"PING", tag.to_string().as_bytes(), b""]))
     }
 
     /// Sends a request. An error means that its last byte could not be written.
@@ -617,7 +569,7 @@
             sent.insert(tag, new);
         }
         log!("{}: DO {tag} {} {fields}", self.name, request.class);
-        let written = self.stream.write_all(&bytes);
+        let written = self.write(&bytes);
         if written.is_err() || self.has_ended() && self.is_open(tag) {
             // The connection had ended before the last byte was written: not taken.
             self.sent.lock().expect("sent").remove(&tag);
@@ -631,25 +583,18 @@
         self.sent.lock().expect("sent").get(&tag).is_some_and(|sent| sent.end.is_none())
     }
 
-    pub fn end_of(&self, tag: u64) -> Option<End> {
-        self.sent.lock().expect("sent").get(&tag).and_then(|sent| sent.end.clone())
-    }
-
-    /// Waits until the request has ended, at most until `limit` after it was written.
-    pub fn wait(&self, tag: u64, limit: Duration) -> Option<End> {
-        let end = Instant::now() + limit;
-        while Instant::now() < end && self.is_open(tag) {
-            std::thread::sleep(Duration::from_millis(1));
-        }
-        self.end_of(tag)
-    }
-
     pub fn all(&self) -> Vec<(u64, Sent)> {
         self.sent.lock().expect("sent").iter().map(|(tag, sent)| (*tag, sent.clone())).collect()
     }
 
-    pub fn close(&self) {
-        let _shutdown = self.stream.shutdown(Shutdown::Both);
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?.write_all(bytes)
+    }
+
+    pub fn close(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            let _shutdown = stream.shutdown(Shutdown::Both);
+        }
     }
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,9 +3,10 @@
 
 mod buffers;
 mod common;
-mod handover;
+mod memory;
 mod settings;
 mod tags;
+mod usual;
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -64,8 +65,8 @@
     let setup = Setup { trouble, temp };
     let verdict = match case {
         "tags" => tags::play(&setup)?,
+        "memory" => memory::play(&setup)?,
         "buffers" => buffers::play(&setup)?,
-        "handover" => handover::play(&setup)?,
         _ => return Err(io::Error::other("no such case")),
     };
     Ok(common::conclude(&verdict))
