--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins of the review's cases: `standin CASE FOLDER` plays one case against the project's
+//! The stand-ins of the review's cases: `standin CASE RECORD` plays one case against the project's
 //! own router. It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
 mod buffers;
@@ -25,8 +25,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, case, record] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE RECORD");
         std::process::exit(2);
     };
     std::thread::spawn(|| {
@@ -35,7 +35,7 @@
     });
     let temp = std::env::temp_dir().join(format!("hollymux-review-{}", std::process::id()));
     let case = case.clone();
-    let record = Path::new(folder).join("record.txt");
+    let record = PathBuf::from(record);
     let played = {
         let temp = temp.clone();
         std::thread::spawn(move || play(&case, &record, temp)).join()
