Reject what has no buffer instead of closing its connection with all that is open on it

Cause: bodies and replies shared one pool of 16 KiB buffers, incomplete requests could fill it, and any message that found it exhausted ended its connection; a rejection needed a buffer too.

Ruled out, by a trial that logged each close with its reason: time-outs and eviction of connections (none of the closes with a request). Related paths with the same error: responses of endpoints (other attempts on the connection fell with it), cancels, unread replies (16 KiB each).

Change: a decoder without a buffer skips the body and says so (request: rejected; response: that attempt ends, may have run). Incomplete requests use a quarter of the pool; beyond that the body that has been incomplete longest is dropped. Heads and messages without a body are stored outside of the pool, up to an eighth of its bytes; beyond, the client with most unread replies is closed. The new failure ResponseDropped joins the random orders of the interleaving tests.

Before: half_requests_of_other_clients_cost_no_reply fails (left: "end", right: "1 fit"), a_response_without_buffers_costs_no_other_attempt_on_its_connection fails (left: "1 broken", right: "1 good ver=d1 filed").

--- a/crates/hollymux/tests/common/manual_endpoints.rs
+++ b/crates/hollymux/tests/common/manual_endpoints.rs
@@ -28,12 +28,24 @@
         (&self.output).write_all(&response).unwrap();
     }
 
+    /// Sends only the beginning of a response: all of it up to this many bytes of its body.
+    pub fn begin_response(&self, status: &str, body: &[u8], body_bytes_sent: usize) {
+        let response = resp_array(&[self.rid.as_bytes(), status.as_bytes(), b"digest=d1", body]);
+        let unsent = body.len() - body_bytes_sent + b"\r\n".len();
+        (&self.output).write_all(&response[..response.len() - unsent]).unwrap();
+    }
+
     /// Sends a response with this status and these fields, without a body.
     pub fn respond_with_fields(&self, status: &str, fields: &str) {
         let response = resp_array(&[self.rid.as_bytes(), status.as_bytes(), fields.as_bytes(), b""]);
         (&self.output).write_all(&response).unwrap();
     }
 
+    /// Whether both attempts arrived on the same connection.
+    pub fn shares_connection_with(&self, other: &HeldAttempt) -> bool {
+        self.output.peer_addr().unwrap() == other.output.peer_addr().unwrap()
+    }
+
     /// Closes the connection of the attempt.
     pub fn close(&self) {
         self.output.shutdown(Shutdown::Both).unwrap();
--- /dev/null
+++ b/crates/hollymux/tests/hostile_clients.rs
@@ -0,0 +1,143 @@
+//! Clients that misuse the router on purpose, beside usual clients that must notice nothing of it,
+//! at the smallest limits of the platform.
+
+mod common;
+
+use common::manual_endpoints::ManualEndpoints;
+use common::*;
+use std::collections::BTreeMap;
+
+/// The smallest memory limit of the platform, in MB.
+const SMALLEST_MEMORY_MB: u32 = 32;
+/// The largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 48_000;
+
+/// A configuration with this memory limit.
+fn config_with_memory(feed: &StubFeed, memory_mb: u32) -> String {
+    config(feed.addr).replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"))
+}
+
+fn start_with_memory(feed: &StubFeed, memory_mb: u32) -> RouterProcess {
+    RouterProcess::with_config(&config_with_memory(feed, memory_mb))
+}
+
+/// A request whose body has the largest size.
+fn filing(tag: u32, rid: u64) -> Vec<u8> {
+    let fields = format!("rid={rid:016x},budget=1500,piece=0,lot=17,obj={rid:016x}");
+    let body = vec![b'x'; MAX_BODY_BYTES];
+    resp_array(&[b"DO", tag.to_string().as_bytes(), b"cert-filing", fields.as_bytes(), &body])
+}
+
+/// Sends a ping and waits for its response: the router has read what was sent before on any
+/// connection once it has answered two pings, one after the other.
+fn ping(client: &mut Client, tag: u32) {
+    client.send(&resp_array(&[b"PING", tag.to_string().as_bytes()]));
+    assert_eq!(client.read_response(), format!("{tag} fit"));
+}
+
+/// Guards against half requests that hold the buffers for the requests and replies of other clients,
+/// whose connections were closed with requests open on them.
+#[test]
+fn half_requests_of_other_clients_cost_no_reply() {
+    let feed = StubFeed::start();
+    let endpoints = [0, 1, 2].map(|_| StubEndpoint::start(StubBehavior::Data(b"some bytes".to_vec())));
+    feed.publish_endpoints(true, &endpoint_lines(&endpoints));
+    let router = start_with_memory(&feed, SMALLEST_MEMORY_MB);
+    let mut usual = Client::connect(router.addr);
+    wait_until("the router to know the endpoint list", || {
+        Some(usual.get(1, "docs", 1, 5)).filter(|reply| !reply.contains("refused")).or_else(|| {
+            usual = Client::connect(router.addr);
+            None
+        })
+    });
+
+    // 250 half requests of 3 buffers each, of 682 buffers.
+    let rest_bytes = 100;
+    let mut halves: Vec<Client> = (0..250).map(|_| Client::connect(router.addr)).collect();
+    for (number, half) in halves.iter_mut().enumerate() {
+        let bytes = filing(1, 10_000 + number as u64);
+        half.send(&bytes[..bytes.len() - rest_bytes]);
+    }
+    let mut pinging = Client::connect(router.addr);
+    ping(&mut pinging, 1);
+    ping(&mut pinging, 2);
+
+    for tag in 2..40 {
+        assert_eq!(usual.get(tag, "docs", tag.into(), 7), format!("{tag} good ver=d1 some bytes"));
+    }
+    usual.send(&filing(40, 40));
+    assert_eq!(usual.read_response(), "40 good ver=d1 some bytes");
+
+    // The half request that has been incomplete longest has lost its body, so it is rejected; the
+    // newest one is served.
+    let rest = &filing(1, 1)[MAX_BODY_BYTES..];
+    let rest = &rest[rest.len() - rest_bytes..];
+    let newest = halves.last_mut().expect("a half request");
+    newest.send(rest);
+    assert_eq!(newest.read_response(), "1 good ver=d1 some bytes");
+    let oldest = &mut halves[0];
+    oldest.send(rest);
+    assert_eq!(oldest.read_response(), "1 refused backoff=1000");
+    ping(oldest, 2);
+}
+
+/// Guards against a response without buffers that ends the connection to its endpoint, and with it
+/// the other attempts there: a write that may have run was then failed.
+#[test]
+fn a_response_without_buffers_costs_no_other_attempt_on_its_connection() {
+    let feed = StubFeed::start();
+    let endpoints = ManualEndpoints::start(24);
+    let kind = |number: usize| if number < 23 { "std" } else { "origin" };
+    let lines = endpoints.addrs.iter().enumerate();
+    let lines = lines.map(|(n, addr)| endpoint_line(&format!("s-{n}"), *addr, kind(n), "ready"));
+    feed.publish_endpoints(true, &lines.collect::<Vec<_>>());
+    // No attempt becomes overdue during the test. There are 341 buffers, and descriptors for 23
+    // connections to endpoints.
+    let config = config_with_memory(&feed, 16)
+        .replace("\"onTime\":250000", "\"onTime\":20000000")
+        .replace("\"sockets\":1024", "\"sockets\":70");
+    let router = RouterProcess::with_config(&config);
+    let mut readers: Vec<Client> = (0..8).map(|_| Client::connect(router.addr)).collect();
+    wait_until("the router to know the endpoint list", || {
+        readers[0].send_request(1, "docs", 1, ",obj=0000000000000001");
+        match endpoints.next_soon() {
+            Some(attempt) => {
+                attempt.respond("data", b"");
+                Some(())
+            }
+            None => {
+                readers[0] = Client::connect(router.addr);
+                None
+            }
+        }
+    });
+    // One read stays open at each edge cache.
+    let mut reads = BTreeMap::new();
+    for tag in 2.. {
+        let reader = &mut readers[tag as usize % 8];
+        reader.send_request(tag, "docs", tag.into(), &format!(",obj={tag:016x}"));
+        let attempt = endpoints.next();
+        if reads.contains_key(&attempt.endpoint) {
+            reader.send(&resp_array(&[b"UNDO", tag.to_string().as_bytes()]));
+        }
+        reads.entry(attempt.endpoint).or_insert(attempt);
+        if reads.len() == 23 {
+            break;
+        }
+    }
+    let mut writer = Client::connect(router.addr);
+    writer.send_request(1, "cert-filing", 1_000, ",obj=0000000000000001");
+    let write = endpoints.next();
+    let beside_write = reads.remove(&write.endpoint).expect("a read beside the write");
+    assert!(write.shares_connection_with(&beside_write));
+
+    // 22 incomplete responses of 15 buffers each leave too few for one more.
+    let object = vec![b'x'; 240_000];
+    reads.values().for_each(|read| read.begin_response("data", &object, 239_000));
+    let mut pinging = Client::connect(router.addr);
+    ping(&mut pinging, 1);
+    ping(&mut pinging, 2);
+    beside_write.respond("data", &object);
+    write.respond("data", b"filed");
+    assert_eq!(writer.read_response(), "1 good ver=d1 filed");
+}
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -14,7 +14,7 @@
     push_bulk_string, Decoder, FieldList, Frame, RespError,
 };
 use crate::{GROUP_COUNT, MAX_TAG_BYTES};
-use hollymux_router::buffers::{BufferChain, BufferPool, Exhausted};
+use hollymux_router::buffers::{BufferChain, BufferPool, BufferUse};
 use hollymux_router::{ClientRequest, ReceivedNumber, Reply};
 
 /// Largest body of a request, in bytes. The platform sets this limit.
@@ -30,6 +30,7 @@
 
 /// A command received from a client.
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant, reason = "a command is handled at once and not stored")]
 pub enum ClientCommand {
     /// `DO`: a request.
     Request {
@@ -38,6 +39,9 @@
         tag: u64,
         /// The request, or an error if its fields are missing or out of range.
         request: Result<ClientRequest, InvalidRequest>,
+        /// Whether the request had a body that was dropped for lack of buffers, so that it can't be
+        /// sent to an endpoint.
+        body_dropped: bool,
     },
     /// `UNDO`: the client cancels the request with this tag.
     Cancel {
@@ -97,7 +101,7 @@
 
 /// Returns a RESP decoder for a client connection, whose bodies are stored in buffers of `pool`.
 pub fn decoder(pool: &BufferPool) -> Decoder {
-    Decoder::new(pool, BODY_INDEX, MAX_REQUEST_BODY_BYTES)
+    Decoder::new(pool, BufferUse::IncompleteRequest, BODY_INDEX, MAX_REQUEST_BODY_BYTES)
 }
 
 /// Parses a command from a frame.
@@ -112,8 +116,9 @@
     match (frame.words[0].as_slice(), frame.words.len()) {
         (b"DO", 3..) => {
             let class = frame.words[2].clone();
+            let body_dropped = frame.body_dropped;
             let request = parse_request(frame).ok_or(InvalidRequest { class });
-            Ok(ClientCommand::Request { tag, request })
+            Ok(ClientCommand::Request { tag, request, body_dropped })
         }
         (b"UNDO", 2) => Ok(ClientCommand::Cancel { tag }),
         (b"PING", 2..=3) => Ok(ClientCommand::Ping { tag }),
@@ -192,11 +197,10 @@
     }
 }
 
-/// Encodes the reply to the request with this tag. The buffers of the body are moved, not copied.
-///
-/// # Errors
-/// Returns [`Exhausted`] if the pool has no buffer left for the bytes around the body.
-pub fn encode_reply(pool: &BufferPool, tag: u64, reply: Reply) -> Result<BufferChain, Exhausted> {
+/// Encodes the reply to the request with this tag at the end of `output`. The buffers of the body
+/// are moved, not copied; what is around it needs no buffer of the pool, so that every request can
+/// be replied to.
+pub fn encode_reply(output: &mut BufferChain, tag: u64, reply: Reply) {
     let reply = EncodedReply::from(reply);
     let mut head = Vec::with_capacity(96);
     push_array_header(&mut head, 4);
@@ -204,20 +208,16 @@
     push_bulk_string(&mut head, reply.status);
     push_bulk_string(&mut head, reply.fields.as_bytes());
     push_bulk_length(&mut head, reply.body.as_ref().map_or(0, BufferChain::len));
-    let mut chain = pool.chain();
-    chain.extend(&head)?;
+    output.extend_control(&head);
     if let Some(body) = reply.body {
-        chain.append(body);
+        output.append(body);
     }
-    chain.extend(b"\r\n")?;
-    Ok(chain)
+    output.extend_control(b"\r\n");
 }
 
-/// Encodes the response to a ping with this tag. `ready` says whether this router accepts requests.
-///
-/// # Errors
-/// Returns [`Exhausted`] if the pool has no buffer left for the response.
-pub fn encode_ping_response(pool: &BufferPool, tag: u64, ready: bool) -> Result<BufferChain, Exhausted> {
+/// Encodes the response to a ping with this tag at the end of `output`. `ready` says whether this
+/// router accepts requests.
+pub fn encode_ping_response(output: &mut BufferChain, tag: u64, ready: bool) {
     let status: &[u8] = if ready { b"fit" } else { b"unfit" };
-    encode_words(pool, &[tag.to_string().as_bytes(), status])
+    output.extend_control(&encode_words(&[tag.to_string().as_bytes(), status]));
 }
--- a/crates/protocol/src/endpoint.rs
+++ b/crates/protocol/src/endpoint.rs
@@ -11,7 +11,7 @@
 };
 use crate::MAX_TAG_BYTES;
 use hollymux_decision::CacheStatus;
-use hollymux_router::buffers::{BufferChain, BufferPool, Exhausted};
+use hollymux_router::buffers::{BufferChain, BufferPool, BufferUse, Exhausted};
 use hollymux_router::{AttemptRequest, AttemptResponse, Target};
 
 /// Largest body of a response, in bytes. The platform sets this limit.
@@ -21,7 +21,7 @@
 
 /// Returns a RESP decoder for an endpoint connection, whose bodies are stored in buffers of `pool`.
 pub fn decoder(pool: &BufferPool) -> Decoder {
-    Decoder::new(pool, BODY_INDEX, MAX_OBJECT_BYTES)
+    Decoder::new(pool, BufferUse::Message, BODY_INDEX, MAX_OBJECT_BYTES)
 }
 
 /// A response to an attempt or a health probe.
@@ -33,6 +33,8 @@
     pub response: AttemptResponse,
     /// Cache status from the `remark` field; `None` if the field is absent or its value is unknown.
     pub cache_status: Option<CacheStatus>,
+    /// Whether the response had a body that was dropped for lack of buffers.
+    pub body_dropped: bool,
 }
 
 /// Parses a response from a frame. The caller checks with [`is_valid_response`] whether the response
@@ -51,7 +53,7 @@
     let digest = parse_digest(fields);
     let response = match frame.words[1].as_slice() {
         b"data" => AttemptResponse::Data(digest, frame.body),
-        b"unchanged" if frame.body.is_empty() => {
+        b"unchanged" if frame.body.is_empty() && !frame.body_dropped => {
             AttemptResponse::NotModified(digest.ok_or(RespError::Malformed)?)
         }
         b"absent" => AttemptResponse::Absent,
@@ -62,7 +64,7 @@
         b"ill" => AttemptResponse::ProbeResult(false),
         _ => return Err(RespError::Malformed),
     };
-    Ok(EndpointResponse { id, response, cache_status })
+    Ok(EndpointResponse { id, response, cache_status, body_dropped: frame.body_dropped })
 }
 
 /// Returns the version tag of the copy from the `digest` field. Returns `None` if the field is
@@ -161,7 +163,7 @@
 /// Encodes an attempt. The body of the request is copied, since a retry may need it again.
 ///
 /// # Errors
-/// Returns [`Exhausted`] if the pool has too few buffers left for the attempt.
+/// Returns [`Exhausted`] if the pool has too few buffers left for the body.
 pub fn encode_attempt(pool: &BufferPool, attempt: &AttemptRequest) -> Result<BufferChain, Exhausted> {
     let request = &attempt.request;
     let mut head = Vec::with_capacity(256);
@@ -171,11 +173,11 @@
     push_bulk_string(&mut head, attempt_fields(attempt).as_bytes());
     push_bulk_length(&mut head, request.body.len());
     let mut chain = pool.chain();
-    chain.extend(&head)?;
+    chain.extend_control(&head);
     for run in request.body.segments() {
         chain.extend(run)?;
     }
-    chain.extend(b"\r\n")?;
+    chain.extend_control(b"\r\n");
     Ok(chain)
 }
 
@@ -201,17 +203,11 @@
 }
 
 /// Encodes the cancellation of the attempt that was sent with this id.
-///
-/// # Errors
-/// Returns [`Exhausted`] if the pool has no buffer left for the command.
-pub fn encode_cancel(pool: &BufferPool, id: &[u8]) -> Result<BufferChain, Exhausted> {
-    encode_words(pool, &[b"QUIT", id])
+pub fn encode_cancel(id: &[u8]) -> Vec<u8> {
+    encode_words(&[b"QUIT", id])
 }
 
 /// Encodes a health probe, whose response repeats this id.
-///
-/// # Errors
-/// Returns [`Exhausted`] if the pool has no buffer left for the command.
-pub fn encode_probe(pool: &BufferPool, id: &[u8]) -> Result<BufferChain, Exhausted> {
-    encode_words(pool, &[b"NOOP", id])
+pub fn encode_probe(id: &[u8]) -> Vec<u8> {
+    encode_words(&[b"NOOP", id])
 }
--- a/crates/protocol/src/resp.rs
+++ b/crates/protocol/src/resp.rs
@@ -5,7 +5,7 @@
 //! incrementally and limits the length of each word; the `push_*` functions append encoded parts to
 //! a vector. The meaning of the words belongs to [`crate::client`] and [`crate::endpoint`].
 
-use hollymux_router::buffers::{BufferChain, BufferPool, Exhausted};
+use hollymux_router::buffers::{BufferChain, BufferPool, BufferUse};
 
 /// Maximum length of a word other than the body, in bytes.
 const MAX_WORD_BYTES: usize = 1024;
@@ -26,15 +26,6 @@
     /// A word count or word length exceeds its limit. Nothing was allocated for the word or array.
     #[error("length in RESP message exceeds the limit")]
     TooLong,
-    /// The buffer pool has no buffer left for the body of a frame.
-    #[error("buffer pool is exhausted")]
-    Exhausted,
-}
-
-impl From<Exhausted> for RespError {
-    fn from(_: Exhausted) -> Self {
-        RespError::Exhausted
-    }
 }
 
 /// A decoded array of bulk strings.
@@ -42,8 +33,11 @@
 pub struct Frame {
     /// Words before the body; never empty.
     pub words: Vec<Vec<u8>>,
-    /// Body of the frame; empty if the array is too short to have one.
+    /// Body of the frame; empty if the array is too short to have one, or if it was dropped.
     pub body: BufferChain,
+    /// Whether the frame had a body that was dropped, because the pool had no buffer left for it or
+    /// by [`Decoder::drop_body`].
+    pub body_dropped: bool,
 }
 
 /// State of the decoder: the part of the frame that the next byte belongs to.
@@ -64,10 +58,13 @@
 /// Incremental decoder for arrays of bulk strings.
 ///
 /// Words before the body are stored in vectors, since their length is limited to 1 KiB. The body is
-/// stored in buffers of the pool.
+/// stored in buffers of the pool. If those are exhausted, the body is dropped and the rest of it is
+/// skipped, so that the words of the frame are known even then.
 #[derive(Debug)]
 pub struct Decoder {
     pool: BufferPool,
+    /// What the buffers of a body are used for until it is complete.
+    body_use: BufferUse,
     /// Index of the body in an array, which is also the index of the last word allowed.
     body_index: usize,
     max_body_bytes: usize,
@@ -81,14 +78,18 @@
     /// Words received so far, the current one included, without the body.
     words: Vec<Vec<u8>>,
     body: Option<BufferChain>,
+    /// Whether the body of the current array was dropped.
+    body_dropped: bool,
 }
 
 impl Decoder {
     /// Creates a decoder for arrays of up to `body_index + 1` words. The word at `body_index` is
-    /// the body: it may have up to `max_body_bytes` bytes and is stored in buffers of `pool`.
-    pub fn new(pool: &BufferPool, body_index: usize, max_body_bytes: usize) -> Decoder {
+    /// the body: it may have up to `max_body_bytes` bytes and is stored in buffers of `pool`, which
+    /// count as `body_use` until the body is complete.
+    pub fn new(pool: &BufferPool, body_use: BufferUse, body_index: usize, max_body_bytes: usize) -> Decoder {
         Decoder {
             pool: pool.clone(),
+            body_use,
             body_index,
             max_body_bytes,
             step: Step::ArrayLength,
@@ -97,6 +98,20 @@
             word_index: 0,
             words: Vec::new(),
             body: None,
+            body_dropped: false,
+        }
+    }
+
+    /// Returns true if the decoder stores the beginning of a body.
+    pub fn holds_body(&self) -> bool {
+        self.body.is_some()
+    }
+
+    /// Drops what is stored of an incomplete body. The rest of the body is skipped when it arrives,
+    /// and its frame says that the body was dropped.
+    pub fn drop_body(&mut self) {
+        if self.body.take().is_some() {
+            self.body_dropped = true;
         }
     }
 
@@ -109,8 +124,8 @@
     /// Returns `None` if no array is complete yet. Bytes after a complete array remain in `input`.
     ///
     /// # Errors
-    /// Returns an error if the bytes are not an array of bulk strings, if a length exceeds its
-    /// limit, or if the buffer pool is exhausted. The decoder must not be used after an error.
+    /// Returns an error if the bytes are not an array of bulk strings or if a length exceeds its
+    /// limit. The decoder must not be used after an error.
     pub fn feed(&mut self, input: &mut &[u8]) -> Result<Option<Frame>, RespError> {
         while let Some(&next_byte) = input.first() {
             match self.step {
@@ -124,7 +139,7 @@
                         self.begin_word(length)?;
                     }
                 }
-                Step::WordBytes { remaining } => self.read_word(input, remaining)?,
+                Step::WordBytes { remaining } => self.read_word(input, remaining),
                 Step::CarriageReturn if next_byte == b'\r' => {
                     *input = &input[1..];
                     self.step = Step::LineFeed;
@@ -186,16 +201,25 @@
         Ok(())
     }
 
-    fn read_word(&mut self, input: &mut &[u8], remaining: usize) -> Result<(), RespError> {
+    fn read_word(&mut self, input: &mut &[u8], remaining: usize) {
         let (bytes, rest) = input.split_at(remaining.min(input.len()));
         *input = rest;
         if self.at_body() {
-            self.body.get_or_insert_with(|| self.pool.chain()).extend(bytes)?;
+            self.store_body(bytes);
         } else if let Some(word) = self.words.last_mut() {
             word.extend_from_slice(bytes);
         }
         self.step = step_after_bytes(remaining - bytes.len());
-        Ok(())
+    }
+
+    fn store_body(&mut self, bytes: &[u8]) {
+        if self.body_dropped {
+            return;
+        }
+        let body = self.body.get_or_insert_with(|| self.pool.chain_for(self.body_use));
+        if body.extend(bytes).is_err() {
+            self.drop_body();
+        }
     }
 
     /// Ends the current word. Returns the frame if that word was the last one of the array.
@@ -207,8 +231,10 @@
             return None;
         }
         self.step = Step::ArrayLength;
-        let body = self.body.take().unwrap_or_else(|| self.pool.chain());
-        Some(Frame { words: std::mem::take(&mut self.words), body })
+        let mut body = self.body.take().unwrap_or_else(|| self.pool.chain());
+        body.complete_request();
+        let body_dropped = std::mem::take(&mut self.body_dropped);
+        Some(Frame { words: std::mem::take(&mut self.words), body, body_dropped })
     }
 
     /// Returns true if the current word is the body.
@@ -260,16 +286,14 @@
     out.extend_from_slice(format!("${length}\r\n").as_bytes());
 }
 
-/// Encodes an array of bulk strings into buffers of the pool.
-pub(crate) fn encode_words(pool: &BufferPool, words: &[&[u8]]) -> Result<BufferChain, Exhausted> {
+/// Encodes an array of bulk strings without a body.
+pub(crate) fn encode_words(words: &[&[u8]]) -> Vec<u8> {
     let mut bytes = Vec::new();
     push_array_header(&mut bytes, words.len());
     for word in words {
         push_bulk_string(&mut bytes, word);
     }
-    let mut chain = pool.chain();
-    chain.extend(&bytes)?;
-    Ok(chain)
+    bytes
 }
 
 /// Returns the value of the first field with this name in a list `name=value,name=value`. Returns
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -125,6 +125,9 @@
     NotSent,
     /// The connection ended after the attempt was written completely, so the attempt may have run.
     ConnectionLost,
+    /// The response was dropped because no buffer was left for its body. The attempt has run. This
+    /// failure says nothing about the endpoint.
+    ResponseDropped,
 }
 
 /// An event that the driver passes to the router.
--- a/crates/router/src/router/attempts.rs
+++ b/crates/router/src/router/attempts.rs
@@ -156,6 +156,7 @@
             AttemptFailure::ConnectTimeout => AttemptStatus::Unreached,
             AttemptFailure::NotSent => AttemptStatus::Moot,
             AttemptFailure::ConnectionLost => AttemptStatus::Reset,
+            AttemptFailure::ResponseDropped => AttemptStatus::Cancelled,
         };
         self.end_attempt(now, attempt, status.into(), commands);
     }
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -256,6 +256,7 @@
             3 => (responded(AttemptResponse::AtCapacity), false),
             4 => (responded(AttemptResponse::Failed), true),
             5 => (responded(AttemptResponse::AlreadyCancelled), false),
+            6 if pick.is_multiple_of(3) => (Input::Failed(attempt, AttemptFailure::ResponseDropped), true),
             6 => (Input::Failed(attempt, AttemptFailure::ConnectionLost), true),
             7 if pick.is_multiple_of(3) => (Input::Failed(attempt, AttemptFailure::ConnectTimeout), false),
             7 => (Input::Failed(attempt, AttemptFailure::ConnectionRefused), false),
--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -58,6 +58,9 @@
     /// accept.
     pub(super) last_used: Timestamp,
     pub(super) state: ClientState,
+    /// The time since which the decoder has held the beginning of a request's body; `None` if it
+    /// holds none.
+    pub(super) body_incomplete_since: Option<Timestamp>,
     /// Number of wasted requests since the last response: see [`super::MAX_WASTED_REQUESTS`].
     pub(super) wasted_requests: u32,
     /// Whether the router has rejected a request because it is draining, so that the client knows
@@ -75,6 +78,7 @@
             tags: UsedTags::default(),
             last_used: now,
             state: ClientState::AwaitingFirstMessage { since: now },
+            body_incomplete_since: None,
             wasted_requests: 0,
             rejected_while_draining: false,
         }
--- a/crates/server/src/clients/mod.rs
+++ b/crates/server/src/clients/mod.rs
@@ -2,9 +2,12 @@
 //! connection without losing responses that are still in transit.
 
 mod accept;
+mod buffer_shares;
 mod connection;
 mod requests;
 mod responses;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use connection::ClientConnection;
 
--- a/crates/server/src/clients/requests.rs
+++ b/crates/server/src/clients/requests.rs
@@ -5,7 +5,6 @@
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
 use hollymux_protocol::client::{self, ClientCommand};
-use hollymux_router::buffers::Exhausted;
 use hollymux_router::{ClientHandle, ClientRequest, Input, Reply};
 use rustix::event::epoll::EventFlags;
 use std::time::Duration;
@@ -23,14 +22,6 @@
     /// Two responses with the same tag could not be told apart.
     #[error("the client used a tag twice")]
     TagUsedTwice,
-    #[error("no buffer is free for the response")]
-    BuffersExhausted,
-}
-
-impl From<Exhausted> for CommandError {
-    fn from(_: Exhausted) -> CommandError {
-        CommandError::BuffersExhausted
-    }
 }
 
 impl Server {
@@ -86,6 +77,7 @@
             return ConnectionAction::Keep;
         }
         connection.last_used = self.now;
+        self.make_room_for_bodies();
         loop {
             let command = match connection.decoder.feed(&mut bytes) {
                 Ok(None) => {
@@ -96,11 +88,11 @@
                 Err(error) => Err(error),
             };
             connection.state = ClientState::BetweenMessages;
+            connection.body_incomplete_since = None;
             let Ok(command) = command else { return ConnectionAction::BeginClose };
             match self.on_command(token, connection, command) {
                 Ok(()) => {}
                 Err(CommandError::TagUsedTwice) => return ConnectionAction::BeginClose,
-                Err(CommandError::BuffersExhausted) => return ConnectionAction::Close,
             }
             let too_many_wasted = connection.wasted_requests > MAX_WASTED_REQUESTS;
             if too_many_wasted || self.has_too_much_output(connection) {
@@ -118,6 +110,9 @@
         if connection.decoder.is_mid_frame() && connection.state == ClientState::BetweenMessages {
             connection.state = ClientState::ReceivingMessage { since: self.now };
         }
+        if connection.decoder.holds_body() {
+            connection.body_incomplete_since.get_or_insert(self.now);
+        }
         // Elsewhere, a connection is released after a reply of the router, but rejections are
         // written without one. A client that keeps sending would then be released only if
         // housekeeping happened to run in a pause.
@@ -134,21 +129,21 @@
     ) -> Result<(), CommandError> {
         match command {
             ClientCommand::Ping { tag } => {
-                let response = client::encode_ping_response(&self.buffers, tag, self.lifecycle.is_ready())?;
-                connection.output.append(response);
+                client::encode_ping_response(&mut connection.output, tag, self.lifecycle.is_ready());
                 Ok(())
             }
-            ClientCommand::Request { tag, request } => {
+            ClientCommand::Request { tag, request, body_dropped } => {
                 if !connection.tags.insert(tag) {
                     return Err(CommandError::TagUsedTwice);
                 }
                 match request {
-                    Ok(request) => self.on_request(token, connection, tag, request),
+                    Ok(request) => self.on_request(token, connection, tag, request, body_dropped),
                     Err(invalid) => {
                         self.router.count_invalid_request(&invalid.class);
-                        Ok(self.write_response(connection, tag, Reply::Failed)?)
+                        client::encode_reply(&mut connection.output, tag, Reply::Failed);
                     }
                 }
+                Ok(())
             }
             ClientCommand::Cancel { tag } => {
                 self.on_cancel(token, connection, tag);
@@ -163,16 +158,17 @@
         connection: &mut ClientConnection,
         tag: u64,
         request: ClientRequest,
-    ) -> Result<(), CommandError> {
+        body_dropped: bool,
+    ) {
         let too_many_open = connection.open_requests.len() >= MAX_OPEN_REQUESTS;
-        let buffers_scarce = self.buffers.is_fuller_than(BUFFER_PRESSURE_THRESHOLD);
+        let buffers_scarce = body_dropped || self.buffers.is_fuller_than(BUFFER_PRESSURE_THRESHOLD);
         let is_served = self.lifecycle.serves_requests(self.now, self.longest_deadline());
         if !too_many_open && !buffers_scarce && is_served {
             connection.open_requests.insert(tag, self.now);
             let request = self.limit_timeout(request);
             let client = ClientHandle { conn: token.as_u64(), tag };
             self.pending_inputs.push_back(Input::Request(client, request));
-            return Ok(());
+            return;
         }
         connection.rejected_while_draining = !is_served;
         connection.wasted_requests += u32::from(too_many_open);
@@ -180,7 +176,7 @@
             self.execute(command);
         }
         let retry_after_millis = self.router.settings().max_retry_after.as_millis() as u64;
-        Ok(self.write_response(connection, tag, Reply::Rejected(retry_after_millis))?)
+        client::encode_reply(&mut connection.output, tag, Reply::Rejected(retry_after_millis));
     }
 
     fn on_cancel(&mut self, token: ConnectionToken, connection: &mut ClientConnection, tag: u64) {
--- a/crates/server/src/clients/responses.rs
+++ b/crates/server/src/clients/responses.rs
@@ -4,7 +4,6 @@
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
 use hollymux_protocol::client;
-use hollymux_router::buffers::Exhausted;
 use hollymux_router::{ClientHandle, Input, Reply};
 
 /// Largest fraction of all buffers that the unwritten output of one connection may fill.
@@ -16,17 +15,6 @@
         connection.output.len() as f64 > self.buffers.limit_bytes() as f64 * MAX_OUTPUT_SHARE
     }
 
-    /// Appends a response to a connection's output; fails if no buffer is free.
-    pub(super) fn write_response(
-        &mut self,
-        connection: &mut ClientConnection,
-        tag: u64,
-        reply: Reply,
-    ) -> Result<(), Exhausted> {
-        connection.output.append(client::encode_reply(&self.buffers, tag, reply)?);
-        Ok(())
-    }
-
     /// Writes a final reply to its client. Drops it if the connection is closed.
     pub(crate) fn reply_to_client(&mut self, client: ClientHandle, reply: Reply) {
         let token = ConnectionToken::from_u64(client.conn);
@@ -37,8 +25,8 @@
         }
         connection.last_used = self.now;
         connection.wasted_requests = 0;
-        let written = self.write_response(&mut connection, client.tag, reply);
-        let action = if written.is_err() || self.has_too_much_output(&connection) {
+        client::encode_reply(&mut connection.output, client.tag, reply);
+        let action = if self.has_too_much_output(&connection) {
             ConnectionAction::Close
         } else {
             self.flush(token, &mut connection.stream, &mut connection.output)
--- /dev/null
+++ b/crates/server/src/clients/tests.rs
@@ -0,0 +1,44 @@
+//! Tests of states that can't be reached from outside without filling the kernel's buffers, whose
+//! size differs between machines: replies that clients don't read.
+
+use super::ClientConnection;
+use crate::config::operator_file::Operator;
+use crate::config::Config;
+use crate::event_loop::{ConnectionKind, ConnectionToken};
+use crate::Server;
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+
+const FILE: &str = include_str!("../../../../examples/config.json");
+
+fn server() -> Server {
+    let mut config = Config::read(FILE).unwrap();
+    config.listen = "127.0.0.1:0".parse().unwrap();
+    config.admin_listen = None;
+    Server::new(config, PathBuf::new(), Operator::default()).unwrap()
+}
+
+/// Adds a client connection on which this many bytes of replies have not been read.
+fn add_client(server: &mut Server, unread: usize) -> (ConnectionToken, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (socket, _) = listener.accept().unwrap();
+    let mut connection = ClientConnection::new(socket, &server.buffers, server.now);
+    connection.output.extend_control(&vec![b'x'; unread]);
+    server.client_count += 1;
+    (server.insert(ConnectionKind::Client(connection)).unwrap(), peer)
+}
+
+/// Guards against replies that nobody reads and that take the memory of the process, and against
+/// closing clients that read theirs.
+#[test]
+fn the_client_with_most_unread_replies_is_closed_when_they_exceed_their_limit() {
+    let mut server = server();
+    let max = server.buffers.max_control_bytes();
+    let clients = [max / 4, max / 2, 0, max / 2].map(|unread| add_client(&mut server, unread));
+    server.shed_unread_replies();
+    let open = clients.map(|(token, _peer)| server.connections.is_open(token));
+    assert_eq!(open.iter().filter(|is_open| **is_open).count(), 3, "{open:?}");
+    assert!(open[0] && open[2], "a client with fewer unread replies was closed: {open:?}");
+    assert!(server.buffers.control_bytes() <= max);
+}
--- a/crates/server/src/endpoints/attempts.rs
+++ b/crates/server/src/endpoints/attempts.rs
@@ -124,17 +124,14 @@
         }
     }
 
-    /// Queues a probe; returns `None` if there is no connection or no buffer for it.
+    /// Queues a probe; returns `None` if there is no connection for it.
     fn try_probe(&mut self, endpoint: EndpointId, address: SocketAddr) -> Option<()> {
         let wire_id = format!("p{:x}", self.now.as_micros()).into_bytes();
-        let bytes = endpoint::encode_probe(&self.buffers, &wire_id).ok();
-        // The connection is dialed even if there is no buffer for the probe, so that the next probe
-        // finds it established.
         let token = self.select_connection(endpoint, address, &wire_id).ok()?;
-        let bytes = bytes?;
+        let probe = endpoint::encode_probe(&wire_id);
         let ConnectionKind::Endpoint(connection) = self.connections.get_mut(token)? else { return None };
         connection.outstanding.insert(wire_id, OutstandingRequest::Probe);
-        connection.queue_control(bytes, self.now);
+        connection.queue_control(&probe, &self.buffers, self.now);
         self.write_queued(token);
         Some(())
     }
@@ -199,13 +196,11 @@
         let ends_connection = (is_overdue || is_partly_written || may_retry) && !must_wait;
         connection.draining |= is_overdue;
         connection.retire_id(wire_id.clone());
-        match endpoint::encode_cancel(&self.buffers, &wire_id) {
-            Ok(bytes) if !ends_connection => {
-                connection.queue_control(bytes, self.now);
-                Some(ConnectionAction::Keep)
-            }
-            _ => Some(ConnectionAction::Close),
+        if ends_connection {
+            return Some(ConnectionAction::Close);
         }
+        connection.queue_control(&endpoint::encode_cancel(&wire_id), &self.buffers, self.now);
+        Some(ConnectionAction::Keep)
     }
 
     /// Whether an attempt has been in flight for longer than the latency objective of its class.
--- a/crates/server/src/endpoints/connection.rs
+++ b/crates/server/src/endpoints/connection.rs
@@ -11,7 +11,7 @@
 use hollymux_decision::{EndpointId, Timestamp};
 use hollymux_protocol::endpoint::{self, EndpointResponse};
 use hollymux_protocol::resp::{Decoder, RespError};
-use hollymux_router::buffers::{BufferChain, BufferPool};
+use hollymux_router::buffers::BufferPool;
 use hollymux_router::metrics::CountedEvent;
 use hollymux_router::{AttemptFailure, AttemptId, AttemptResponse, Input};
 use rustix::event::epoll::EventFlags;
@@ -19,7 +19,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Number of wire ids, most recently cancelled or answered, that a connection remembers. They are
 /// not reused on the connection: a late response to the first use could be taken for one to the
@@ -103,7 +103,9 @@
     }
 
     /// Queues a message that carries no attempt: a probe or a cancel.
-    pub(super) fn queue_control(&mut self, bytes: BufferChain, now: Timestamp) {
+    pub(super) fn queue_control(&mut self, message: &[u8], buffers: &BufferPool, now: Timestamp) {
+        let mut bytes = buffers.chain();
+        bytes.extend_control(message);
         self.queue.push_back(OutgoingMessage { bytes, attempt: None, begun: false, decided_at: now });
     }
 
@@ -205,7 +207,8 @@
         mut bytes: &[u8],
     ) -> Result<(), RespError> {
         while let Some(frame) = connection.decoder.feed(&mut bytes)? {
-            let EndpointResponse { id, response, cache_status } = endpoint::parse_response(frame)?;
+            let EndpointResponse { id, response, cache_status, body_dropped } =
+                endpoint::parse_response(frame)?;
             connection.last_used = self.now;
             match (connection.outstanding.remove(&id), response) {
                 (Some(OutstandingRequest::Probe), AttemptResponse::ProbeResult(healthy)) => {
@@ -215,7 +218,13 @@
                     if attempt.fully_written && self.response_fits(&attempt, &response) =>
                 {
                     self.endpoints.attempts.remove(&attempt.id);
-                    self.pending_inputs.push_back(Input::Responded(attempt.id, response, cache_status));
+                    let ended = if body_dropped {
+                        debug!(request = attempt.id.request, "no buffer left for the body of a response");
+                        Input::Failed(attempt.id, AttemptFailure::ResponseDropped)
+                    } else {
+                        Input::Responded(attempt.id, response, cache_status)
+                    };
+                    self.pending_inputs.push_back(ended);
                     connection.retire_id(id);
                 }
                 (Some(request), _) => {
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -113,5 +113,6 @@
         };
         self.restore(token, connection, action);
         self.execute_pending();
+        self.shed_unread_replies();
     }
 }
--- a/crates/server/src/event_loop/timers.rs
+++ b/crates/server/src/event_loop/timers.rs
@@ -61,5 +61,6 @@
             Timer::DrainTimeout => self.on_drain_timeout(),
         }
         self.execute_pending();
+        self.shed_unread_replies();
     }
 }
--- a/crates/simulation/src/multi_process/connections.rs
+++ b/crates/simulation/src/multi_process/connections.rs
@@ -6,6 +6,7 @@
 use crate::load::{ClientOutcome, MAX_CHUNK_BYTES};
 use crate::model::ServerState;
 use hollymux_protocol::resp::{Decoder, Frame};
+use hollymux_router::buffers::BufferUse;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use std::collections::{BTreeMap, HashMap};
@@ -92,9 +93,9 @@
         let mut frames = Vec::new();
         loop {
             match self.decoder.feed(&mut bytes) {
-                Ok(Some(frame)) => frames.push(frame),
+                Ok(Some(frame)) if !frame.body_dropped => frames.push(frame),
                 Ok(None) => return (frames, false),
-                Err(_) => return (frames, true),
+                Ok(Some(_)) | Err(_) => return (frames, true),
             }
         }
     }
@@ -128,7 +129,7 @@
             (_, None) => Ok(()),
         };
         registered.during("register a socket")?;
-        let decoder = Decoder::new(&self.pool, BODY_INDEX, MAX_CHUNK_BYTES as usize);
+        let decoder = Decoder::new(&self.pool, BufferUse::Message, BODY_INDEX, MAX_CHUNK_BYTES as usize);
         let connection = Connection { role, stream, decoder, out: Vec::new(), written: 0, silent: false };
         self.connections.insert(token, connection);
         Ok(token)
