Forget the oldest range of used tags instead of ending the connection that leaves gaps

Cause: UsedTags holds 256 ranges, and a tag that needed one more was reported like a tag used twice, which ends the connection. The protocol asks for new tags, not for consecutive ones.

Ruled out: time-outs, wasted requests and buffers; with the pings on a connection of their own nothing ends, and the connection ends at tag 513, the 257th range, each time. No other bound whose end is reported as a fault of the peer was found.

Change: a full set forgets the range that was extended longest ago; the tags of open requests are looked up among the open requests, so that one of those is noticed however many came after it.

--- a/crates/hollymux/tests/hostile_clients.rs
+++ b/crates/hollymux/tests/hostile_clients.rs
@@ -1,5 +1,5 @@
 //! Clients that misuse the router on purpose, beside usual clients that must notice nothing of it,
-//! at the smallest limits of the platform.
+//! at the smallest limits of the platform; and usual clients that use all that the protocol allows.
 
 mod common;
 
@@ -141,3 +141,33 @@
     write.respond("data", b"filed");
     assert_eq!(writer.read_response(), "1 good ver=d1 filed");
 }
+
+/// Guards against a bounded memory of used tags that takes new tags for used ones: the connection was
+/// shut down at its 257th gap, with requests open on it.
+#[test]
+fn tags_with_gaps_end_no_connection() {
+    let feed = StubFeed::start();
+    let endpoints = [0, 1, 2].map(|_| StubEndpoint::start(StubBehavior::Data(b"some bytes".to_vec())));
+    feed.publish_endpoints(true, &endpoint_lines(&endpoints));
+    let router = RouterProcess::start(&feed);
+    let mut client = Client::connect(router.addr);
+    wait_until("the router to know the endpoint list", || {
+        Some(Client::connect(router.addr).get(1, "docs", 1, 5)).filter(|reply| !reply.contains("refused"))
+    });
+    endpoints.iter().for_each(|endpoint| endpoint.set_behavior(StubBehavior::NoResponse));
+    let fields = "rid=0000000000000002,budget=5900,piece=0,lot=17,obj=0000000000000007";
+    client.send(&resp_array(&[b"DO", b"1", b"cert-filing", fields.as_bytes(), b"a body"]));
+    let is_write = |attempt: &ReceivedAttempt| attempt.rid == "0000000000000002";
+    wait_until("the write to arrive at an endpoint", || {
+        endpoints.iter().any(|endpoint| endpoint.received().iter().any(is_write)).then_some(())
+    });
+    endpoints.iter().for_each(|endpoint| endpoint.set_behavior(StubBehavior::Data(b"some bytes".to_vec())));
+    // One counter for requests and pings.
+    for tag in (3..1_003).step_by(2) {
+        assert_eq!(client.get(tag, "docs", tag.into(), 7), format!("{tag} good ver=d1 some bytes"));
+        ping(&mut client, tag + 1);
+    }
+    // The tag of the write, which is open, is noticed however many came after it.
+    client.send_request(1, "docs", 5_000, ",obj=0000000000000007");
+    assert_eq!(client.read_response(), "end");
+}
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -16,6 +16,7 @@
 use crate::{GROUP_COUNT, MAX_TAG_BYTES};
 use hollymux_router::buffers::{BufferChain, BufferPool, BufferUse};
 use hollymux_router::{ClientRequest, ReceivedNumber, Reply};
+use std::collections::VecDeque;
 
 /// Largest body of a request, in bytes. The platform sets this limit.
 pub const MAX_REQUEST_BODY_BYTES: usize = 48_000;
@@ -25,7 +26,7 @@
 /// router package applies the lower limit of the request's class.
 const MAX_TIMEOUT_MILLIS: u64 = 3_600_000;
 /// Maximum number of ranges in [`UsedTags`]. A client that numbers its requests consecutively needs
-/// only one.
+/// only one; one that also numbers its pings needs one for each request.
 const MAX_TAG_RANGES: usize = 256;
 
 /// A command received from a client.
@@ -71,30 +72,46 @@
     last: u64,
 }
 
-/// The set of tags that a client has used on its connection. The tags are stored as disjoint,
-/// non-adjacent ranges in ascending order.
+impl TagRange {
+    fn contains(&self, tag: u64) -> bool {
+        (self.first..=self.last).contains(&tag)
+    }
+
+    /// Extends the range by another one if that is directly below or above it.
+    fn join(&mut self, other: TagRange) -> bool {
+        if other.last.checked_add(1) == Some(self.first) {
+            self.first = other.first;
+        } else if self.last.checked_add(1) == Some(other.first) {
+            self.last = other.last;
+        } else {
+            return false;
+        }
+        true
+    }
+}
+
+/// The tags that a client has used on its connection, as far as they can be remembered. The tags are
+/// stored as disjoint, non-adjacent ranges. A client that skips tags may need any number of ranges;
+/// beyond [`MAX_TAG_RANGES`], the range that was extended longest ago is forgotten.
 #[derive(Debug, Default)]
 pub struct UsedTags {
-    ranges: Vec<TagRange>,
+    /// The ranges, the one extended last at the end.
+    ranges: VecDeque<TagRange>,
 }
 
 impl UsedTags {
-    /// Adds a tag to the set. Returns false if the client has used the tag before, or if the tag
-    /// would need a further range and the maximum of 256 ranges is reached.
+    /// Adds a tag. Returns false if the client is known to have used the tag before. The last 256
+    /// tags are always known, and those before them as far as their ranges are remembered.
     pub fn insert(&mut self, tag: u64) -> bool {
-        let next = self.ranges.partition_point(|range| range.last < tag);
-        if self.ranges.get(next).is_some_and(|range| range.first <= tag) {
+        if self.ranges.iter().any(|range| range.contains(tag)) {
             return false;
         }
-        let extends_previous = next > 0 && self.ranges[next - 1].last + 1 == tag;
-        let extends_next = self.ranges.get(next).is_some_and(|range| range.first - 1 == tag);
-        match (extends_previous, extends_next) {
-            (true, true) => self.ranges[next - 1].last = self.ranges.remove(next).last,
-            (true, false) => self.ranges[next - 1].last = tag,
-            (false, true) => self.ranges[next].first = tag,
-            (false, false) if self.ranges.len() >= MAX_TAG_RANGES => return false,
-            (false, false) => self.ranges.insert(next, TagRange { first: tag, last: tag }),
+        let mut joined = TagRange { first: tag, last: tag };
+        self.ranges.retain(|range| !joined.join(*range));
+        if self.ranges.len() == MAX_TAG_RANGES {
+            self.ranges.pop_front();
         }
+        self.ranges.push_back(joined);
         true
     }
 }
--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -52,7 +52,8 @@
     pub(super) output: BufferChain,
     /// The time at which each open request was received, by the request's tag.
     pub(super) open_requests: BTreeMap<u64, Timestamp>,
-    /// The tags that the client has used on this connection; using one twice is an error.
+    /// The tags that the client has used on this connection, as far as they are remembered; using one
+    /// twice is an error.
     pub(super) tags: UsedTags,
     /// When bytes were last received or a response was last queued; initially the time of the
     /// accept.
--- a/crates/server/src/clients/requests.rs
+++ b/crates/server/src/clients/requests.rs
@@ -133,7 +133,7 @@
                 Ok(())
             }
             ClientCommand::Request { tag, request, body_dropped } => {
-                if !connection.tags.insert(tag) {
+                if connection.open_requests.contains_key(&tag) || !connection.tags.insert(tag) {
                     return Err(CommandError::TagUsedTwice);
                 }
                 match request {
