--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -63,6 +63,6 @@
 pub use interface::*;
 pub use module::DecisionModule;
 pub use settings::{parse_settings, SettingParseError, SettingsMap};
-pub use state::{ClassSnapshot, DecisionSnapshot, EndpointSnapshot};
+pub use state::{request_of_timer, ClassSnapshot, DecisionSnapshot, EndpointSnapshot};
 pub use state::{PurgeHistory, QuotaScope, QuotaShare, WarmUpDemand};
 pub use time::Timestamp;
--- a/crates/decision/src/state/mod.rs
+++ b/crates/decision/src/state/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) use route::{LOW_RETENTION, MIDDLE_RETENTION, PASS_THROUGH};
 pub(crate) use service_time::ServiceTimeEstimate;
 pub use snapshot::{ClassSnapshot, DecisionSnapshot, EndpointSnapshot};
+pub use timer_token::request_of_timer;
 pub(crate) use timer_token::TimerToken;
 pub(crate) use warm_up_budget::{warm_up_budget, MAX_WARM_UP_USE};
 pub use warm_up_budget::{QuotaScope, QuotaShare, WarmUpDemand};
--- a/crates/decision/src/state/timer_token.rs
+++ b/crates/decision/src/state/timer_token.rs
@@ -27,6 +27,12 @@
     FillCheck(AttemptId),
 }
 
+/// The request that the timer with this token belongs to, if any. Once the request is answered and
+/// none of its attempts is in flight, the timer has no effect any more.
+pub fn request_of_timer(token: u64) -> Option<RequestId> {
+    TimerToken::decode(token).request()
+}
+
 impl TimerToken {
     /// The token that an action carries.
     pub(crate) fn encode(self) -> u64 {
@@ -39,6 +45,15 @@
         }
     }
 
+    /// The request that the timer belongs to, if any.
+    fn request(self) -> Option<RequestId> {
+        match self {
+            TimerToken::Resubscribe => None,
+            TimerToken::Deadline(request) => Some(request),
+            TimerToken::Overdue(id) | TimerToken::FillCheck(id) => Some(id.request),
+        }
+    }
+
     /// The purpose of a token that an event returns.
     pub(crate) fn decode(token: u64) -> TimerToken {
         let request = (token >> ATTEMPT_BITS) as RequestId;
--- a/crates/hollymux/tests/common/process.rs
+++ b/crates/hollymux/tests/common/process.rs
@@ -174,6 +174,13 @@
         self.signal("-HUP");
     }
 
+    /// The anonymous memory of the process that is in RAM, in bytes.
+    pub fn anonymous_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+        line.trim().strip_suffix(" kB").unwrap().parse::<u64>().unwrap() * 1_024
+    }
+
     /// Stops the process with SIGSTOP. Data that arrives for it stays in the kernel's buffers.
     pub fn pause(&self) {
         self.signal("-STOP");
--- a/crates/hollymux/tests/hostile_clients.rs
+++ b/crates/hollymux/tests/hostile_clients.rs
@@ -142,6 +142,38 @@
     assert_eq!(writer.read_response(), "1 good ver=d1 filed");
 }
 
+/// Guards against timers that outlive the requests they were set for: clients that repeat what was
+/// rejected took the router over its memory limit.
+#[test]
+fn rejected_requests_leave_nothing_behind() {
+    let feed = StubFeed::start();
+    let router = start_with_memory(&feed, SMALLEST_MEMORY_MB);
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(router.addr)).collect();
+    // There is no endpoint, so all requests are rejected at once, long before their deadlines.
+    let mut reject = |rounds: std::ops::Range<u32>| {
+        for first_tag in rounds.map(|round| round * 32 + 1) {
+            for (client, number) in clients.iter_mut().zip(0..) {
+                let requests = (first_tag..first_tag + 32).flat_map(|tag| {
+                    let rid = u64::from(tag) << 8 | number;
+                    let fields = format!("rid={rid:016x},budget=5000,piece=0,lot=17,obj={rid:016x}");
+                    resp_array(&[b"DO", tag.to_string().as_bytes(), b"docs", fields.as_bytes(), b""])
+                });
+                client.send(&requests.collect::<Vec<u8>>());
+            }
+            for client in &mut clients {
+                for _ in 0..32 {
+                    assert!(client.read_response().contains("refused"));
+                }
+            }
+        }
+    };
+    reject(0..50);
+    let before = router.anonymous_memory_bytes();
+    reject(50..1_000);
+    let growth = router.anonymous_memory_bytes().saturating_sub(before);
+    assert!(growth < 1 << 20, "the memory grew by {growth} bytes over 121,600 requests");
+}
+
 /// Guards against a bounded memory of used tags that takes new tags for used ones: the connection was
 /// shut down at its 257th gap, with requests open on it.
 #[test]
--- a/crates/router/src/hint_follower.rs
+++ b/crates/router/src/hint_follower.rs
@@ -41,6 +41,11 @@
     pub fill: CacheFill,
 }
 
+/// The request that the hint follower's timer with this token belongs to.
+pub(crate) fn request_of_timer(token: u64) -> RequestId {
+    (token >> 1) as RequestId
+}
+
 /// The purpose of a timer of the hint follower. The lowest bit of a token distinguishes the
 /// variants, the other bits hold the request id.
 enum Timer {
@@ -59,7 +64,7 @@
     }
 
     fn from_token(token: u64) -> Timer {
-        let id = (token >> 1) as RequestId;
+        let id = request_of_timer(token);
         if token & Timer::LOOKUP_RETRY_BIT != 0 {
             Timer::LookupRetry(id)
         } else {
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -1,8 +1,9 @@
 //! The inputs and commands of the router, and the types that they carry.
 
 use crate::endpoint_list::FeedEvent;
-use crate::hint_follower::LookupResult;
+use crate::hint_follower::{self, LookupResult};
 use crate::request::{AttemptResponse, ClientRequest, Reply, RequestedObject};
+use hollymux_decision::request_of_timer;
 use hollymux_decision::{AttemptStatus, CacheFill, CacheStatus, EndpointId, RequestId, Timestamp};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -113,6 +114,18 @@
     Attempt(AttemptId),
 }
 
+impl Wake {
+    /// The request that the timer belongs to, if any: it can be cancelled by
+    /// [`Command::CancelTimers`].
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Wake::Decision(RoutingMode::Decide, token) => request_of_timer(*token),
+            Wake::Decision(RoutingMode::FollowHint, token) => Some(hint_follower::request_of_timer(*token)),
+            Wake::Attempt(attempt) => Some(attempt.request),
+        }
+    }
+}
+
 /// Why an attempt ended without a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -253,6 +266,9 @@
     Reply(ClientHandle, Reply),
     /// Set a timer that expires at this time, and return it as [`Input::Wake`].
     Wake(Timestamp, Wake),
+    /// Cancel the timers of a request, as none of them has an effect any more. One that expires
+    /// nevertheless does no harm.
+    CancelTimers(RequestId),
     /// Look up the endpoint of a request at another router, and return the result as
     /// [`Input::LookedUp`].
     Lookup(RequestId, RequestedObject),
--- a/crates/router/src/router/attempts.rs
+++ b/crates/router/src/router/attempts.rs
@@ -180,7 +180,7 @@
         self.end_attempt(now, attempt, status.into(), commands);
     }
 
-    fn has_attempt_in_flight(&self, request: RequestId) -> bool {
+    pub(super) fn has_attempt_in_flight(&self, request: RequestId) -> bool {
         let first = AttemptId { request, number: 0 };
         let last = AttemptId { request, number: u16::MAX };
         self.in_flight.range(first..=last).next().is_some()
@@ -286,6 +286,7 @@
         if ended.kind == AttemptKind::Sent {
             commands.extend(self.attempt_summary(attempt, &ended, end.status, duration));
         }
+        self.release_timers(attempt.request, commands);
         Some(Event::AttemptOutcome(AttemptOutcome {
             request: attempt.request,
             attempt: attempt.number,
--- a/crates/router/src/router/lookups.rs
+++ b/crates/router/src/router/lookups.rs
@@ -92,6 +92,7 @@
         let is_undecided = self.open_requests.remove(&request).is_some();
         if is_undecided || matches!(result, Some(LookupResult::Endpoint(_))) {
             self.decide(now, RoutingMode::Decide, Event::Withdrawn { request }, commands);
+            self.release_timers(request, commands);
         }
         result.unwrap_or(LookupResult::Failed)
     }
--- a/crates/router/src/router/replies.rs
+++ b/crates/router/src/router/replies.rs
@@ -33,6 +33,7 @@
         commands.push(open.summary(request, now, result, reason, bytes));
         let Some(client) = open.client else {
             self.lookup_result = Some(lookup_result(&reply));
+            self.release_timers(request, commands);
             return;
         };
         self.by_client.remove(&client.handle);
@@ -46,6 +47,14 @@
         }
         self.count_reply(open.requested.class, &reply);
         commands.push(Command::Reply(client.handle, reply));
+        self.release_timers(request, commands);
+    }
+
+    /// Cancels the timers of a request that is closed and has no attempt in flight.
+    pub(super) fn release_timers(&self, request: RequestId, commands: &mut Vec<Command>) {
+        if !self.open_requests.contains_key(&request) && !self.has_attempt_in_flight(request) {
+            commands.push(Command::CancelTimers(request));
+        }
     }
 
     /// Counts a final reply in the totals and in the metrics of its class.
@@ -73,6 +82,7 @@
         }
         commands.push(open.summary(request, now, RequestResult::Cancelled, open.failure_reason(), 0));
         self.decide(now, open.mode, Event::Withdrawn { request }, commands);
+        self.release_timers(request, commands);
     }
 
     /// Handles the end of a client's connection by cancelling the requests of the connection.
--- a/crates/router/tests/characterization/adapter.rs
+++ b/crates/router/tests/characterization/adapter.rs
@@ -9,7 +9,7 @@
 };
 use hollymux_router::buffers::{BufferChain, BufferPool};
 use hollymux_router::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +30,10 @@
     classes: Vec<String>,
     /// The timers that were set, indexed by the handle in [`Reaction::Wake`].
     wakes: Vec<Wake>,
+    /// The timers that the router has cancelled, by their index. The world returns them, but they
+    /// are not passed on: the router must do the same without them. At a handover all timers count
+    /// as set again, as the world returns those of the predecessor to its successor.
+    cancelled_wakes: HashSet<usize>,
     names: BTreeMap<EndpointId, String>,
 }
 
@@ -44,6 +48,7 @@
             settings: settings.to_string(),
             classes,
             wakes: Vec::new(),
+            cancelled_wakes: HashSet::new(),
             names: BTreeMap::new(),
         }
     }
@@ -54,6 +59,7 @@
         let mut commands = Vec::new();
         let mut effects = Vec::new();
         match stimulus {
+            Stimulus::Wake { handle } if self.cancelled_wakes.contains(&handle) => {}
             Stimulus::Lookup { class, object, chunk, group, id } => {
                 effects.push(self.lookup(now, class, (object, chunk, group, id), &mut commands));
             }
@@ -112,6 +118,12 @@
         }
     }
 
+    fn cancel_wakes(&mut self, request: u32) {
+        let wakes = self.wakes.iter().enumerate();
+        let cancelled = wakes.filter(|(_, wake)| wake.request() == Some(request));
+        self.cancelled_wakes.extend(cancelled.map(|(handle, _)| handle));
+    }
+
     fn chain(&self, length: usize) -> BufferChain {
         let mut chain = self.pool.chain();
         chain.extend(&vec![b'x'; length]).expect("buffer pool exhausted");
@@ -198,6 +210,7 @@
         self.router = successor;
         let mut effects = vec![Effect::new("handed over", state_text(&state, &later))];
         effects.extend(commands.into_iter().filter_map(|command| self.effect(command)));
+        self.cancelled_wakes.clear();
         effects
     }
 
@@ -244,6 +257,10 @@
             Command::StopSending(endpoint) => Effect::new("hold", self.name(endpoint).to_string()),
             Command::AttemptEnded(ended) => attempt_ended_effect(&ended),
             Command::RequestEnded(ended) => request_ended_effect(&ended),
+            Command::CancelTimers(request) => {
+                self.cancel_wakes(request);
+                return None;
+            }
             Command::Log(_) => return None,
         };
         Some(effect)
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -141,6 +141,9 @@
         for command in commands {
             self.check_command(command);
         }
+        if self.waiting.is_empty() && self.in_flight.is_empty() {
+            assert!(self.timers.is_empty(), "timers outlive their requests: {:?}", self.timers);
+        }
     }
 
     fn check_command(&mut self, command: Command) {
@@ -158,6 +161,9 @@
                 self.serial += 1;
                 self.timers.insert((at, self.serial), wake);
             }
+            Command::CancelTimers(request) => {
+                self.timers.retain(|_, wake| wake.request() != Some(request));
+            }
             _ => {}
         }
     }
@@ -364,7 +370,7 @@
 
     /// Guards, for any order of events, against a client with no reply or two, attempts for a
     /// client that has left, two attempts of a request in flight, a non-idempotent request that
-    /// runs twice, and attempts at a draining endpoint.
+    /// runs twice, attempts at a draining endpoint, and timers that outlive their requests.
     #[test]
     fn each_client_gets_one_reply_in_any_order_of_events(steps in steps(), is_shut_down in any::<bool>()) {
         let mut world = World::new();
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -3,6 +3,8 @@
 
 mod connection_table;
 mod io;
+#[cfg(test)]
+mod tests;
 mod timer_wheel;
 mod timers;
 
@@ -13,7 +15,7 @@
 use rustix::event::Timespec;
 use std::time::Duration;
 pub(crate) use timer_wheel::TimerWheel;
-pub(crate) use timers::{Timer, INITIAL_LIST_TIMEOUT};
+pub(crate) use timers::{RequestTimers, Timer, INITIAL_LIST_TIMEOUT};
 
 /// Maximum number of events that one wait reports: every descriptor of a small router. Further
 /// events are reported by the next wait.
@@ -56,7 +58,7 @@
                 self.on_event(ConnectionToken::from_u64(event.data.u64()), event.flags);
             }
             self.now = self.clock.now();
-            for timer in self.timers.expired(self.now) {
+            for timer in self.take_expired_timers() {
                 self.on_timer(timer);
             }
         }
--- a/crates/server/src/event_loop/timers.rs
+++ b/crates/server/src/event_loop/timers.rs
@@ -1,8 +1,12 @@
 //! The server's timers, and the dispatch of expired ones.
 
+use super::timer_wheel::{Expired, TimerId};
 use super::ConnectionToken;
 use crate::Server;
+use hollymux_decision::{RequestId, Timestamp};
 use hollymux_router::{Input, Wake};
+use smallvec::SmallVec;
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// How long a listener is paused after a connection could not be accepted.
@@ -42,7 +46,46 @@
     DrainTimeout,
 }
 
+/// The timers that are set for each request: its deadline, and two or three for an attempt.
+pub(crate) type RequestTimers = HashMap<RequestId, SmallVec<[TimerId; 4]>>;
+
 impl Server {
+    /// Sets a timer for the router.
+    pub(crate) fn set_router_timer(&mut self, at: Timestamp, wake: Wake) {
+        let id = self.timers.set(at, Timer::Router(wake));
+        if let Some(request) = wake.request() {
+            self.request_timers.entry(request).or_default().push(id);
+        }
+    }
+
+    /// Cancels the router's timers for a request.
+    pub(crate) fn cancel_router_timers(&mut self, request: RequestId) {
+        for id in self.request_timers.remove(&request).unwrap_or_default() {
+            self.timers.cancel(id);
+        }
+    }
+
+    /// Removes and returns the timers that have expired. They can't be cancelled any more.
+    pub(super) fn take_expired_timers(&mut self) -> Vec<Timer> {
+        let expired = self.timers.expired(self.now);
+        let take = |Expired { id, timer }| {
+            if let Timer::Router(wake) = &timer {
+                self.forget_request_timer(id, wake);
+            }
+            timer
+        };
+        expired.into_iter().map(take).collect()
+    }
+
+    fn forget_request_timer(&mut self, id: TimerId, wake: &Wake) {
+        let Some(request) = wake.request() else { return };
+        let Some(timers) = self.request_timers.get_mut(&request) else { return };
+        timers.retain(|other| *other != id);
+        if timers.is_empty() {
+            self.request_timers.remove(&request);
+        }
+    }
+
     /// Handles a timer that has expired.
     pub(crate) fn on_timer(&mut self, timer: Timer) {
         match timer {
--- a/crates/server/src/execute.rs
+++ b/crates/server/src/execute.rs
@@ -1,6 +1,5 @@
 //! Passing inputs to the router, executing its commands, and logging and recording their outcomes.
 
-use crate::event_loop::Timer;
 use crate::Server;
 use hollymux_decision::time::whole_micros;
 use hollymux_router::{Command, FeedEvent, Input, RequestSummary};
@@ -26,7 +25,8 @@
             Command::CancelAttempt { attempt, may_retry } => self.cancel_attempt(attempt, may_retry),
             Command::Lookup(request, wanted) => self.start_lookup(request, &wanted),
             Command::Reply(client, reply) => self.reply_to_client(client, reply),
-            Command::Wake(at, wake) => self.timers.set(at, Timer::Router(wake)),
+            Command::Wake(at, wake) => self.set_router_timer(at, wake),
+            Command::CancelTimers(request) => self.cancel_router_timers(request),
             Command::Probe(endpoint, address) => self.probe(endpoint, address),
             Command::CloseConnections(endpoint) => self.close_connections(endpoint),
             Command::StopSending(endpoint) => self.stop_sending(endpoint),
--- a/crates/server/src/handover/take_over.rs
+++ b/crates/server/src/handover/take_over.rs
@@ -93,7 +93,8 @@
         let Some(token) = self.handover.predecessor else { return self.begin_serving() };
         let quiet_at = self.feed.last_update + FEED_QUIET_TIME;
         if !timed_out && self.now < quiet_at {
-            return self.timers.set(quiet_at, Timer::FeedQuiet);
+            self.timers.set(quiet_at, Timer::FeedQuiet);
+            return;
         }
         let Some(ConnectionKind::Predecessor(mut peer)) = self.connections.take(token) else { return };
         if peer.progress != HandoverProgress::TakeOverSent {
--- a/crates/server/src/housekeeping.rs
+++ b/crates/server/src/housekeeping.rs
@@ -24,6 +24,7 @@
         let shares_limits = self.handover.limits_shared;
         while shares_limits && self.client_count > self.max_client_connections() && self.evict_client() {}
         self.run_housekeeping();
+        self.timers.shrink();
     }
 
     /// Checks all connections, and closes those whose check asks for it.
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -7,7 +7,7 @@
 use crate::dns::Resolver;
 use crate::endpoints::EndpointConnections;
 use crate::event_loop::INITIAL_LIST_TIMEOUT;
-use crate::event_loop::{ConnectionKind, ConnectionTable, ConnectionToken, Timer, TimerWheel};
+use crate::event_loop::{ConnectionKind, ConnectionTable, ConnectionToken, RequestTimers, Timer, TimerWheel};
 use crate::feed::EndpointFeed;
 use crate::handover::Handover;
 use crate::housekeeping::HOUSEKEEPING_INTERVAL;
@@ -52,6 +52,8 @@
     pub(crate) router: Router,
     pub(crate) buffers: BufferPool,
     pub(crate) timers: TimerWheel<Timer>,
+    /// The timers in the wheel that belong to a request.
+    pub(crate) request_timers: RequestTimers,
     pub(crate) connections: ConnectionTable,
     /// Inputs that have not been passed to the router yet.
     pub(crate) pending_inputs: VecDeque<Input>,
@@ -130,6 +132,7 @@
             router,
             buffers: BufferPool::new(max_buffers(&config)),
             timers: TimerWheel::new(now),
+            request_timers: RequestTimers::new(),
             connections: ConnectionTable::default(),
             pending_inputs: VecDeque::new(),
             commands: Vec::new(),
--- a/crates/simulation/src/virtual_time/routers.rs
+++ b/crates/simulation/src/virtual_time/routers.rs
@@ -213,7 +213,8 @@
             Command::RequestEnded(summary) => {
                 (self.records)(self.routers[router].slot, &RouterRecord::RequestEnded(&summary));
             }
-            Command::StopSending(_) | Command::Lookup(..) | Command::AttemptEnded(..) | Command::Log(_) => {}
+            Command::StopSending(_) | Command::Lookup(..) | Command::AttemptEnded(..) => {}
+            Command::CancelTimers(_) | Command::Log(_) => {}
         }
     }
 
