Keep the bound of the class on the age of copies where a purge is further back than it

Cause: cache_fill took the lower of the stale bound, where a stale copy is accepted, and the time since the purge. Without the first the second stood alone and grew past the fresh time until the purge was forgotten. The follower of lookups did the same with a hint without a bound, and never forgot the purge.

Change: fresh time, with grace only where a stale copy is accepted, always holds; a purge replaces it only where it is stricter.

Before: every_bound_on_the_age_of_copies_holds_at_once fails (copies of Some(16.33s), fresh: 500ms), a_purge_allows_no_copy_that_the_class_or_the_hint_does_not_allow fails (left: Some(5.999s), right: None). After: both pass.

--- a/crates/decision/src/policy/attempts.rs
+++ b/crates/decision/src/policy/attempts.rs
@@ -5,6 +5,7 @@
 use crate::module::DecisionModule;
 use crate::state::{Attempt, AttemptId, OpenRequest, RouteDecision, TimerToken};
 use crate::time::{Timestamp, MICROSECOND};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 impl DecisionModule {
@@ -82,24 +83,36 @@
         self.begin_attempt(attempt, actions);
     }
 
-    /// Decides how the endpoint fills a miss and how old a copy it may serve. The maximum age is
-    /// the lower of two bounds: freshness plus grace period, for a class that expires and a request
-    /// that accepts stale copies or is shed; and the time since the latest purge of the object.
+    /// Decides how the endpoint fills a miss and how old a copy it may serve.
     fn cache_fill(&self, now: Timestamp, open: &OpenRequest, route: &RouteDecision) -> CacheFill {
         let class = self.settings.class(&open.request);
         let shed = self.shed_for_origin(now, open);
         let expires = !class.fresh.is_zero();
-        let stale_allowed = expires && (open.accepts_stale || shed);
-        let stale_bound = stale_allowed.then_some(class.fresh + class.grace);
-        let purge_bound = self.purge_max_age(now, &open.request);
         let source_is_parent = route.fill_source.is_some_and(|source| self.endpoints.is_parent(source));
         CacheFill {
             source: route.fill_source,
             retention: route.retention,
-            max_age: [stale_bound, purge_bound].into_iter().flatten().min(),
+            max_age: self.max_copy_age(now, open, shed),
             coalesce: self.settings.coalesce_fills,
             stale_while_revalidate: expires && !shed,
             only_if_cached: shed && source_is_parent,
         }
     }
+
+    /// The greatest age of a copy that may serve the request; `None` for the fresh time of its class,
+    /// or for any age if copies of the class don't expire.
+    ///
+    /// Two bounds hold at once: the fresh time, to which the grace period is added if the request
+    /// accepts stale copies or is shed; and the time since the latest purge of the object.
+    fn max_copy_age(&self, now: Timestamp, open: &OpenRequest, shed: bool) -> Option<Duration> {
+        let class = self.settings.class(&open.request);
+        let purge_bound = self.purge_max_age(now, &open.request);
+        if class.fresh.is_zero() {
+            return purge_bound;
+        }
+        let accepts_stale = open.accepts_stale || shed;
+        let class_bound = if accepts_stale { class.fresh + class.grace } else { class.fresh };
+        let strict_purge_bound = purge_bound.filter(|age| *age < class_bound);
+        strict_purge_bound.or(accepts_stale.then_some(class_bound))
+    }
 }
--- a/crates/router/src/hint_follower.rs
+++ b/crates/router/src/hint_follower.rs
@@ -224,8 +224,13 @@
         let HintedEndpoint { endpoint, mut fill } = hinted;
         let purged = self.purges.latest(&followed.request);
         if purged > Timestamp::ZERO {
-            let max_age = PurgeHistory::oldest_copy(now, purged);
-            fill.max_age = Some(fill.max_age.map_or(max_age, |age| age.min(max_age)));
+            let purge_bound = PurgeHistory::oldest_copy(now, purged);
+            // Without a bound in the hint, the endpoint applies the fresh time of the class.
+            let fresh = self.settings.classes[usize::from(followed.request.class)].fresh;
+            let hinted_bound = fill.max_age.or(Some(fresh).filter(|fresh| !fresh.is_zero()));
+            if hinted_bound.is_none_or(|age| purge_bound < age) {
+                fill.max_age = Some(purge_bound);
+            }
         }
         let timeout = followed.request.deadline.duration_since(now);
         actions.push(Action::Attempt { request: id, endpoint, timeout, fill });
