Continue the endpoint feed after a handover where the old process stood

Cause: the new process replayed the feed from its configuration's position as news. Drains that were handed over were applied again once, when it began to serve (0.1 s without an event); older events that came later undid them, and removals.

Change: the number of the last event that the state includes follows the state, and the new process asks for what is after it. If its configuration knows later events, those stand and the older list is not applied over them. The test of the frames decodes the added number and wants its value; the earlier fixture is still read.

--- a/crates/hollymux/tests/common/stubs/feed.rs
+++ b/crates/hollymux/tests/common/stubs/feed.rs
@@ -21,6 +21,8 @@
     resumed_after: Vec<u64>,
     /// Whether all watches, open and new, send nothing.
     silent: bool,
+    /// The pause after each event.
+    pace: Duration,
     /// Number of times that all connections were closed.
     closings: u32,
     /// The number of the connection, from 1, that stays open and sends nothing.
@@ -88,6 +90,11 @@
         self.state.lock().unwrap().silent = silent;
     }
 
+    /// Makes all watches pause after each event from now on.
+    pub fn set_pace(&self, pace: Duration) {
+        self.state.lock().unwrap().pace = pace;
+    }
+
     /// The time at which each connection was made.
     pub fn connection_times(&self) -> Vec<Instant> {
         self.state.lock().unwrap().connected_at.clone()
@@ -166,17 +173,18 @@
             }
         }
         loop {
-            let (new_events, all_silent) = {
+            let (new_events, all_silent, pace) = {
                 let state = state.lock().unwrap();
                 if state.closings != self.closings {
                     return None;
                 }
                 let new_events = state.events.get(self.sent_events..).unwrap_or_default().to_vec();
-                (new_events, state.silent)
+                (new_events, state.silent, state.pace)
             };
             if !all_silent {
                 for event in new_events {
                     self.send(&event)?;
+                    thread::sleep(pace);
                 }
                 self.send_heartbeat()?;
             }
--- a/crates/hollymux/tests/handover.rs
+++ b/crates/hollymux/tests/handover.rs
@@ -399,3 +399,48 @@
     // here.
     assert!(start.elapsed() < Duration::from_millis(3_700), "ended after {:?}", start.elapsed());
 }
+
+/// Guards against a feed that is slow to tell a new process its history, and undoes what the old one
+/// has handed over: a drain, and the removal of an endpoint. Over several replacements in a row, one
+/// of them during the replay, and a new configuration.
+#[test]
+fn no_older_event_undoes_a_drain_or_a_removal_that_was_handed_over() {
+    let setup = Setup::new(StubBehavior::Data(b"some bytes".to_vec()));
+    let [draining, removed] = [0, 1].map(|_| StubEndpoint::start(StubBehavior::Data(b"some bytes".to_vec())));
+    let publish = |name: &str, addr: SocketAddr, state: &str| {
+        setup.feed.publish_endpoints(false, &[endpoint_line(name, addr, "std", state)]);
+    };
+    publish("s-gone", removed.addr, "ready");
+    publish("s-late", draining.addr, "ready");
+    let first = setup.start();
+    publish("s-late", draining.addr, "draining");
+    publish("s-gone", removed.addr, "gone");
+    let entries = || admin_call(admin_address(&first), "GET /status/metrics").1;
+    wait_until("the drain and the removal to be known", || {
+        let metrics = entries();
+        let is_known = |line: &str| metrics.lines().any(|other| other == line);
+        (is_known("svc.registry_entries=4") && is_known("svc.out_of_rotation=1")).then_some(())
+    });
+    draining.take_received();
+    removed.take_received();
+
+    setup.feed.set_pace(Duration::from_millis(400));
+    let serve = |requests: u32| {
+        let mut client = Client::connect(setup.addr);
+        for tag in 1..=requests {
+            let reply = client.get(tag, "docs", next_request_id(), u64::from(tag));
+            assert_eq!(reply, format!("{tag} good ver=d1 some bytes"));
+            thread::sleep(Duration::from_millis(20));
+        }
+    };
+    let second = setup.start();
+    first.signal("-TERM");
+    serve(30);
+    second.signal("-HUP");
+    let third = setup.start();
+    second.signal("-TERM");
+    serve(120);
+    assert!(is_ready(&third));
+    assert_eq!((draining.count(), removed.count()), (0, 0), "attempts at endpoints that get no work");
+    assert!(setup.endpoints.iter().map(StubEndpoint::count).sum::<usize>() >= 150);
+}
--- a/crates/hollymux/tests/handover_bytes.rs
+++ b/crates/hollymux/tests/handover_bytes.rs
@@ -184,6 +184,11 @@
                "retries": self.measured(), "lost": self.measured()})
     }
 
+    /// The position of the endpoint feed, which may follow the state.
+    fn feed_position(&mut self) -> Option<u64> {
+        (!self.bytes.is_empty()).then(|| self.number())
+    }
+
     fn legacy(&mut self) -> Value {
         json!({"zones": self.texts(), "kinds": self.texts(), "classes": self.texts(),
                "members": self.list(Decoder::member), "filings": self.list(Decoder::filing),
@@ -195,7 +200,11 @@
 fn decode(frame: &(u8, Vec<u8>)) -> Value {
     let mut decoder = Decoder { bytes: &frame.1[HEADER_LENGTH..] };
     let body = match frame.0 {
-        LEGACY => json!({"legacy": decoder.option(Decoder::legacy)}),
+        LEGACY => {
+            let state = json!({"legacy": decoder.option(Decoder::legacy)});
+            decoder.feed_position();
+            state
+        }
         YOURS => json!("yours"),
         FILINGS => json!({"filings": decoder.list(Decoder::filing)}),
         FLEET => json!({"fleet": {"start": decoder.time(), "incarnation": decoder.number()}}),
@@ -205,6 +214,14 @@
     body
 }
 
+/// The position of the endpoint feed behind the state; `None` if the sender does not send it.
+fn feed_position(frames: &[(u8, Vec<u8>)]) -> Option<u64> {
+    let state = frames.iter().find(|frame| frame.0 == LEGACY).unwrap();
+    let mut decoder = Decoder { bytes: &state.1[HEADER_LENGTH..] };
+    decoder.option(Decoder::legacy);
+    decoder.feed_position()
+}
+
 fn decode_to_text(frames: &[(u8, Vec<u8>)]) -> String {
     let lines = frames.iter().map(|frame| serde_json::to_string_pretty(&decode(frame)).unwrap());
     lines.collect::<Vec<_>>().join("\n")
@@ -362,7 +379,9 @@
 
 #[test]
 fn a_successor_gets_frames_of_the_same_form() {
-    insta::assert_snapshot!("frames", decode_to_text(&take_over()));
+    let frames = take_over();
+    insta::assert_snapshot!("frames", decode_to_text(&frames));
+    assert_eq!(feed_position(&frames), Some(5), "five events were published");
 }
 
 // ---- a predecessor in the test hands over to a program ----
@@ -385,6 +404,7 @@
 fn the_fixture_holds_frames_of_the_same_form() {
     let frames = split_frames(&std::fs::read(fixture()).unwrap());
     insta::assert_snapshot!("frames", decode_to_text(&frames));
+    assert_eq!(feed_position(&frames), None, "the earlier program did not send the position");
 }
 
 /// The generation of the predecessor in the fixture, by which other routers identify its process.
--- a/crates/protocol/src/handover.rs
+++ b/crates/protocol/src/handover.rs
@@ -39,9 +39,14 @@
     /// The successor requests the handover of the listener that accepts clients at this address.
     /// The address is empty if the message has another version.
     Hello(String),
-    /// The predecessor sends its state, together with the listening socket. `None` if the message
-    /// has another version.
-    State(Option<Box<HandoverState>>),
+    /// The predecessor sends its state, together with the listening socket.
+    State {
+        /// The state; `None` if the message has another version.
+        state: Option<Box<HandoverState>>,
+        /// The number of the last event of the endpoint feed that the state includes. `None` if the
+        /// message has another version, or comes from a build that does not send it.
+        feed_position: Option<u64>,
+    },
     /// The successor is ready to accept connections.
     TakeOver,
     /// The predecessor no longer accepts connections.
@@ -71,7 +76,11 @@
     pub fn encode(&self) -> Vec<u8> {
         match self {
             HandoverMessage::Hello(address) => encode_frame(kind::HELLO, address),
-            HandoverMessage::State(state) => encode_frame(kind::STATE, state),
+            HandoverMessage::State { state, feed_position: None } => encode_frame(kind::STATE, state),
+            // A receiver that does not know of the position ignores what follows the state.
+            HandoverMessage::State { state, feed_position: Some(position) } => {
+                encode_frame(kind::STATE, &(state, position))
+            }
             HandoverMessage::TakeOver => encode_frame(kind::TAKE_OVER, &()),
             HandoverMessage::Released => encode_frame(kind::RELEASED, &()),
             HandoverMessage::PendingWrites(writes) => encode_frame(kind::PENDING_WRITES, writes),
@@ -86,7 +95,7 @@
     fn decode(version: u8, kind: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
         match kind {
             kind::HELLO => Ok(HandoverMessage::Hello(decode_body(version, body)?)),
-            kind::STATE => Ok(HandoverMessage::State(decode_body(version, body)?)),
+            kind::STATE => decode_state(version, body),
             kind::TAKE_OVER => Ok(HandoverMessage::TakeOver),
             kind::RELEASED => Ok(HandoverMessage::Released),
             kind::PENDING_WRITES => Ok(HandoverMessage::PendingWrites(decode_body(version, body)?)),
@@ -113,6 +122,18 @@
     frame
 }
 
+fn decode_state(version: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
+    if version != VERSION {
+        return Ok(HandoverMessage::State { state: None, feed_position: None });
+    }
+    let (state, rest) = postcard::take_from_bytes(body).map_err(|_| MalformedMessage)?;
+    let feed_position = match rest {
+        [] => None,
+        rest => Some(postcard::from_bytes(rest).map_err(|_| MalformedMessage)?),
+    };
+    Ok(HandoverMessage::State { state, feed_position })
+}
+
 /// Decodes a body, or returns the default value if the message has another version.
 fn decode_body<T: DeserializeOwned + Default>(version: u8, body: &[u8]) -> Result<T, MalformedMessage> {
     if version != VERSION {
--- a/crates/protocol/tests/handover.rs
+++ b/crates/protocol/tests/handover.rs
@@ -32,7 +32,8 @@
     };
     vec![
         HandoverMessage::Hello("127.0.0.1:5050".into()),
-        HandoverMessage::State(Some(Box::new(state))),
+        HandoverMessage::State { state: Some(Box::new(state.clone())), feed_position: Some(300) },
+        HandoverMessage::State { state: Some(Box::new(state)), feed_position: None },
         HandoverMessage::TakeOver,
         HandoverMessage::Released,
         HandoverMessage::PendingWrites(vec![PendingWrite {
@@ -76,7 +77,7 @@
         let same_kind = std::mem::discriminant(&decoded) == std::mem::discriminant(&message);
         assert!(same_kind, "{message:?} was decoded as {decoded:?}");
         // The state of another version must not be decoded.
-        assert_ne!(decoded, all_messages()[1]);
+        assert!(!all_messages()[1..3].contains(&decoded));
     }
     let mut reader = HandoverReader::default();
     reader.feed(&[b'h', b'm', b'x', VERSION, STATE_KIND, 0xff, 0, 0, 0]);
@@ -94,7 +95,7 @@
             let mut reader = HandoverReader::default();
             reader.feed(&bytes);
             while let Ok(Some(message)) = reader.next_message() {
-                if let HandoverMessage::State(Some(state)) = message {
+                if let HandoverMessage::State { state: Some(state), .. } = message {
                     let _endpoint_list = state.full_list_event(&[], &[]);
                 }
             }
--- a/crates/server/src/feed.rs
+++ b/crates/server/src/feed.rs
@@ -49,6 +49,17 @@
             last_update: Timestamp::ZERO,
         }
     }
+
+    /// The number of the last applied event.
+    pub(crate) fn last_event(&self) -> u64 {
+        self.last_event
+    }
+
+    /// Continues after this event, whose effects and those of all events before it are known. The
+    /// next connection asks for the events after it.
+    pub(crate) fn resume_after(&mut self, event: u64) {
+        self.last_event = event;
+    }
 }
 
 /// A connection to the endpoint feed, established or not.
--- a/crates/server/src/handover/call_predecessor.rs
+++ b/crates/server/src/handover/call_predecessor.rs
@@ -62,6 +62,9 @@
     pub(super) listener: TcpListener,
     /// The predecessor's state; `None` if the predecessor has another version.
     pub(super) state: Option<Box<HandoverState>>,
+    /// The number of the last event of the endpoint feed that the state includes, if the
+    /// predecessor sends it.
+    pub(super) feed_position: Option<u64>,
     /// The connection to the predecessor, non-blocking.
     pub(super) socket: UnixStream,
     /// The reader for that connection, with the bytes received after the state.
@@ -132,10 +135,10 @@
         };
         reader.feed(&buffer[..length]);
         match reader.next_message()? {
-            Some(HandoverMessage::State(state)) => {
+            Some(HandoverMessage::State { state, feed_position }) => {
                 let listener = check_listener(listener, listen)?;
                 socket.set_nonblocking(true).map_err(io_error("set up the connection to"))?;
-                return Ok(InheritedSockets { listener, state, socket, reader });
+                return Ok(InheritedSockets { listener, state, feed_position, socket, reader });
             }
             Some(HandoverMessage::Declined) => return Err(HandoverError::Declined),
             Some(_) => return Err(HandoverError::OutOfOrder),
--- a/crates/server/src/handover/mod.rs
+++ b/crates/server/src/handover/mod.rs
@@ -35,6 +35,9 @@
     pub(crate) predecessor: Option<ConnectionToken>,
     /// The state received from the predecessor; taken when this process begins to serve.
     pub(crate) inherited_state: Option<Box<HandoverState>>,
+    /// Whether the feed may replay events that are older than the inherited endpoint list: the
+    /// predecessor has not said where its feed stood.
+    pub(crate) list_may_be_undone: bool,
     /// Whether this process shares its limits of descriptors and buffers with a successor or
     /// predecessor.
     pub(crate) limits_shared: bool,
--- a/crates/server/src/handover/serve_successor.rs
+++ b/crates/server/src/handover/serve_successor.rs
@@ -99,7 +99,10 @@
         state.zones.clone_from(&self.config.names.zones);
         state.kinds.clone_from(&self.config.names.kinds);
         peer.sends_listener = true;
-        peer.send(&HandoverMessage::State(Some(Box::new(state))));
+        peer.send(&HandoverMessage::State {
+            state: Some(Box::new(state)),
+            feed_position: Some(self.feed.last_event()),
+        });
         info!("handing over to a successor process");
     }
 
--- a/crates/server/src/handover/take_over.rs
+++ b/crates/server/src/handover/take_over.rs
@@ -7,6 +7,7 @@
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken, Timer};
 use crate::Server;
 use hollymux_protocol::handover::HandoverMessage;
+use hollymux_router::handover_state::HandoverState;
 use hollymux_router::lifecycle::{Event, Phase};
 use rustix::event::epoll::EventFlags;
 use std::io;
@@ -23,15 +24,14 @@
 
 impl Server {
     /// Applies the state received from the predecessor: its endpoint list at once, the rest in
-    /// [`Server::begin_serving`], after the endpoint feed has caught up. Returns the client
-    /// listener.
+    /// [`Server::begin_serving`], after the endpoint feed has caught up. The feed continues where
+    /// the predecessor's stood, so that no older event undoes what was handed over. Returns the
+    /// client listener.
     pub(crate) fn inherit(&mut self, inherited: InheritedSockets) -> io::Result<TcpListener> {
-        let InheritedSockets { listener, state, socket, reader } = inherited;
+        let InheritedSockets { listener, state, feed_position, socket, reader } = inherited;
         match &state {
             Some(state) => {
-                let event = state.full_list_event(&self.config.names.zones, &self.config.names.kinds);
-                self.apply_feed_event(event);
-                self.execute_pending();
+                self.inherit_endpoint_list(state, feed_position);
                 info!(
                     endpoints = state.endpoints.len(),
                     pending_writes = state.pending_writes.len(),
@@ -47,6 +47,21 @@
         Ok(listener)
     }
 
+    /// Applies the predecessor's endpoint list, which includes the events of the feed up to
+    /// `feed_position`, unless the configuration of this process knows later events.
+    fn inherit_endpoint_list(&mut self, state: &HandoverState, feed_position: Option<u64>) {
+        self.handover.list_may_be_undone = feed_position.is_none();
+        if feed_position.is_some_and(|position| position < self.feed.last_event()) {
+            return;
+        }
+        let event = state.full_list_event(&self.config.names.zones, &self.config.names.kinds);
+        self.apply_feed_event(event);
+        self.execute_pending();
+        if let Some(position) = feed_position {
+            self.feed.resume_after(position);
+        }
+    }
+
     /// Handles epoll events of the connection to the predecessor.
     pub(crate) fn on_predecessor(
         &mut self,
@@ -113,9 +128,11 @@
             return;
         }
         if let Some(state) = self.handover.inherited_state.take() {
-            let draining_event = state.draining_event(&self.config.names.zones, &self.config.names.kinds);
-            self.apply_feed_event(draining_event);
-            self.execute_pending();
+            if self.handover.list_may_be_undone {
+                let draining_event = state.draining_event(&self.config.names.zones, &self.config.names.kinds);
+                self.apply_feed_event(draining_event);
+                self.execute_pending();
+            }
             self.router.restore(self.now, &state);
         }
         self.apply_lifecycle_event(Event::Started);
