--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -92,7 +92,7 @@
 
 /// The tags that a client has used on its connection, as far as they can be remembered. The tags are
 /// stored as disjoint, non-adjacent ranges. A client that skips tags may need any number of ranges;
-/// beyond [`MAX_TAG_RANGES`], the range that was extended longest ago is forgotten.
+/// beyond 256, the range that was extended longest ago is forgotten.
 #[derive(Debug, Default)]
 pub struct UsedTags {
     /// The ranges, the one extended last at the end.
