Keep an event line of the endpoint feed that continues in the next HTTP chunk

What callers saw: nothing at once; a drain, a removal or a purge could be missed silently.

Cause: EndpointFeedReader kept the incomplete line of an event and that of the HTTP framing in one buffer. The line end behind a chunk completed the beginning of an event line as a line of the framing, and dropped it; the rest was skipped like a comment.

Change: a buffer for each, with a limit of 16 KiB for lines of the framing.

Before: an_event_line_that_continues_in_the_next_chunk_is_decoded_completely fails (chunks end at 1 and 14, left: ["two\nlines"], right: ["one", "two\nlines"]). After: passes for every pair of places in the stream.

--- a/crates/protocol/src/endpoint_feed.rs
+++ b/crates/protocol/src/endpoint_feed.rs
@@ -9,11 +9,14 @@
 /// Maximum number of buffered bytes of an incomplete line and its incomplete event, and maximum
 /// size of a chunk. The full endpoint list arrives as one event, so this also limits its size.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
+/// Maximum length of a line of the HTTP framing, in bytes.
+const MAX_FRAMING_LINE_BYTES: usize = 16 << 10;
 
 /// Error in the response of the endpoint feed. It is fatal for the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FeedError {
-    /// An incomplete line together with the data of its event exceeds 4 MiB.
+    /// An incomplete line together with the data of its event exceeds 4 MiB, or a line of the HTTP
+    /// framing exceeds 16 KiB.
     #[error("endpoint feed: line or event too long")]
     TooLong,
     /// The status line is not that of an HTTP/1.x response with status 200.
@@ -49,7 +52,10 @@
     step: Step,
     /// Whether a header has declared chunked transfer coding.
     chunked: bool,
-    /// Bytes received so far of an incomplete line, of the HTTP framing or of an event.
+    /// Bytes received so far of an incomplete line of the HTTP framing.
+    framing_line: Vec<u8>,
+    /// Bytes received so far of an incomplete line of an event. A line may continue in the next
+    /// chunk, so it is kept over the framing between them.
     line: Vec<u8>,
     /// Data received so far of an incomplete event.
     data: Vec<u8>,
@@ -71,7 +77,13 @@
 
 impl Default for EndpointFeedReader {
     fn default() -> Self {
-        EndpointFeedReader { step: Step::StatusLine, chunked: false, line: Vec::new(), data: Vec::new() }
+        EndpointFeedReader {
+            step: Step::StatusLine,
+            chunked: false,
+            framing_line: Vec::new(),
+            line: Vec::new(),
+            data: Vec::new(),
+        }
     }
 }
 
@@ -98,7 +110,7 @@
                 }
                 Step::StatusLine | Step::HeaderLine | Step::ChunkSize | Step::ChunkEnd => {
                     input = after_byte;
-                    if let Some(line) = self.push(byte)? {
+                    if let Some(line) = push(&mut self.framing_line, byte, MAX_FRAMING_LINE_BYTES)? {
                         self.read_framing_line(&line)?;
                     }
                 }
@@ -107,21 +119,6 @@
         Ok(())
     }
 
-    /// Appends a byte to the incomplete line. If the byte is a line feed, returns the complete line
-    /// without its line end.
-    fn push(&mut self, byte: u8) -> Result<Option<Vec<u8>>, FeedError> {
-        if byte == b'\n' {
-            let mut line = std::mem::take(&mut self.line);
-            line.pop_if(|last| *last == b'\r');
-            return Ok(Some(line));
-        }
-        if self.line.len() + self.data.len() >= MAX_BUFFERED_BYTES {
-            return Err(FeedError::TooLong);
-        }
-        self.line.push(byte);
-        Ok(None)
-    }
-
     /// Processes a line of the HTTP framing: the status line, a header, the size of a chunk or the
     /// line end after a chunk.
     fn read_framing_line(&mut self, line: &[u8]) -> Result<(), FeedError> {
@@ -145,7 +142,8 @@
     /// an empty line ends an event, and all other lines, such as heartbeat comments, are skipped.
     fn read_events(&mut self, bytes: &[u8], events: &mut Vec<Vec<u8>>) -> Result<(), FeedError> {
         for &byte in bytes {
-            let Some(line) = self.push(byte)? else { continue };
+            let max_bytes = MAX_BUFFERED_BYTES.saturating_sub(self.data.len());
+            let Some(line) = push(&mut self.line, byte, max_bytes)? else { continue };
             if line.is_empty() {
                 if !self.data.is_empty() {
                     events.push(std::mem::take(&mut self.data));
@@ -161,6 +159,21 @@
     }
 }
 
+/// Appends a byte to an incomplete line of at most `max_bytes` bytes. If the byte is a line feed,
+/// returns the complete line without its line end.
+fn push(line: &mut Vec<u8>, byte: u8, max_bytes: usize) -> Result<Option<Vec<u8>>, FeedError> {
+    if byte == b'\n' {
+        let mut line = std::mem::take(line);
+        line.pop_if(|last| *last == b'\r');
+        return Ok(Some(line));
+    }
+    if line.len() >= max_bytes {
+        return Err(FeedError::TooLong);
+    }
+    line.push(byte);
+    Ok(None)
+}
+
 /// Returns the state inside a chunk of which `remaining` bytes have not been received yet.
 fn step_after_data(remaining: usize) -> Step {
     if remaining == 0 {
--- a/crates/protocol/tests/endpoint_feed.rs
+++ b/crates/protocol/tests/endpoint_feed.rs
@@ -45,6 +45,23 @@
     }
 }
 
+/// Guards against the first part of an event line being lost where the line continues in the next
+/// chunk: a drain or a purge was then missed silently.
+#[test]
+fn an_event_line_that_continues_in_the_next_chunk_is_decoded_completely() {
+    let events = ": heartbeat\n\ndata: one\r\n\nid: 2\ndata: two\ndata: lines\n\n";
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    for first in 1..events.len() - 1 {
+        for second in first + 1..events.len() {
+            let pieces = [&events[..first], &events[first..second], &events[second..]];
+            let response = format!("{CHUNKED_HEAD}{}", pieces.map(chunk).concat());
+            let (decoded, result) = read(&[&response]);
+            assert_eq!(result, Ok(()), "chunks end at {first} and {second}");
+            assert_eq!(decoded, ["one", "two\nlines"], "chunks end at {first} and {second}");
+        }
+    }
+}
+
 #[test]
 fn an_invalid_response_or_the_end_of_a_response_is_an_error() {
     let cases = [
@@ -53,6 +70,7 @@
         (format!("{CHUNKED_HEAD}0\r\n"), FeedError::Ended),
         (format!("{CHUNKED_HEAD}many\r\n"), FeedError::InvalidChunkSize),
         (format!("{CHUNKED_HEAD}400001\r\n"), FeedError::InvalidChunkSize),
+        (format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000)), FeedError::TooLong),
     ];
     for (response, error) in cases {
         assert_eq!(read(&[&response]).1, Err(error), "{response:?}");
