Close clients for unread replies only by what clients hold

Cause: the bound on unread replies looked at all control data, also at messages that hung endpoints don't read; clients with a reply on its way would have been closed for them. Found on reading the change again, not seen.

Before: messages_that_endpoints_do_not_read_close_no_client fails (the client is closed). After: passes.

--- a/crates/server/src/clients/buffer_shares.rs
+++ b/crates/server/src/clients/buffer_shares.rs
@@ -33,13 +33,21 @@
     /// Closes client connections that don't read their replies while all of them together hold more
     /// control data than the pool allows, the one with most of it first.
     pub(crate) fn shed_unread_replies(&mut self) {
-        while self.buffers.control_bytes() > self.buffers.max_control_bytes() {
+        let max_bytes = self.buffers.max_control_bytes();
+        // What waits for endpoints is control data too, but no fault of the clients.
+        while self.buffers.control_bytes() > max_bytes && self.unread_reply_bytes() > max_bytes {
             let Some(token) = self.most_unread_replies() else { return };
             debug!("closing the client connection with most unread replies");
             self.close(token);
         }
     }
 
+    /// Number of bytes of control data that all client connections hold.
+    fn unread_reply_bytes(&self) -> usize {
+        let clients = self.connections.iter().filter_map(|(_, connection)| client_of(connection));
+        clients.map(|client| client.output.control_bytes()).sum()
+    }
+
     fn most_unread_replies(&self) -> Option<ConnectionToken> {
         self.connections.lowest_ranked(|connection| {
             let unread = client_of(connection)?.output.control_bytes();
--- a/crates/server/src/clients/tests.rs
+++ b/crates/server/src/clients/tests.rs
@@ -42,3 +42,15 @@
     assert!(open[0] && open[2], "a client with fewer unread replies was closed: {open:?}");
     assert!(server.buffers.control_bytes() <= max);
 }
+
+/// Guards against closing clients because of messages that endpoints don't read.
+#[test]
+fn messages_that_endpoints_do_not_read_close_no_client() {
+    let mut server = server();
+    let max = server.buffers.max_control_bytes();
+    let mut to_endpoint = server.buffers.chain();
+    to_endpoint.extend_control(&vec![b'x'; 2 * max]);
+    let (token, _peer) = add_client(&mut server, 100);
+    server.shed_unread_replies();
+    assert!(server.connections.is_open(token));
+}
