--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -646,21 +646,22 @@
 }
 
 impl Router {
-    /// Starts a router; `private` names its TMPDIR in the temporary folder.
+    /// Starts a router; `private` names its TMPDIR in the temporary folder. `arguments` of
+    /// [`Router::start_with`] follow the line `run`.
     pub fn start(settings: &Settings, feed: SocketAddr, known: &str, private: &str) -> Router {
         let config_path = temporary(&format!("{}.json", settings.name));
         std::fs::write(&config_path, settings.json(feed, known)).expect("a configuration");
-        Router::start_with(settings, &config_path, private, None)
+        Router::start_with(settings, &config_path, private, "")
     }
 
-    pub fn start_with(settings: &Settings, config: &PathBuf, private: &str, operator: Option<SocketAddr>) -> Router {
+    pub fn start_with(settings: &Settings, config: &PathBuf, private: &str, arguments: &str) -> Router {
         let folder = temporary(private);
         std::fs::create_dir_all(&folder).expect("a private folder");
         let log = File::options().create(true).append(true).open(temporary(&format!("{private}.log"))).unwrap();
         let mut command = Command::new("/bin/sh");
-        command.args(["-c", &run_line()]).env("NODE_CONFIG", config).env("TMPDIR", &folder);
+        command.args(["-c", &format!("{}{arguments}", run_line())]).env("NODE_CONFIG", config).env("TMPDIR", &folder);
         command.env("NODE_NAME", &settings.name).env("NODE_LISTEN", settings.listen.to_string());
-        if let Some(address) = operator.or(settings.operator) {
+        if let Some(address) = settings.operator {
             command.env("NODE_OPERATOR", address.to_string());
         }
         let log_2 = log.try_clone().unwrap();
@@ -683,6 +684,47 @@
     }
 }
 
+/// Calls an operator's address; the status line of the answer, empty if there is none within a second.
+pub fn call_operator(address: SocketAddr, method: &str, path: &str) -> String {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return String::new() };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let call = format!("{method} {path} HTTP/1.1\r\nHost: operator\r\nContent-Length: 0\r\n\r\n");
+    let mut answer = String::new();
+    if stream.write_all(call.as_bytes()).is_ok() {
+        let _ = stream.read_to_string(&mut answer);
+    }
+    answer.lines().next().unwrap_or_default().to_string()
+}
+
+/// Waits until a process answers `GET /status` with yes. Returns false if it does not for `most_ms`.
+pub fn wait_yes(operator: SocketAddr, most_ms: f64) -> bool {
+    let started = unix_ms();
+    while unix_ms() - started < most_ms {
+        if call_operator(operator, "GET", "/status").starts_with("HTTP/1.1 2") {
+            note("the new process says yes");
+            return true;
+        }
+        sleep_ms(20);
+    }
+    note("the new process has not said yes");
+    false
+}
+
+impl Router {
+    /// Whether the process ends within `most_ms`.
+    pub fn ends_within(&mut self, most_ms: f64) -> bool {
+        let started = unix_ms();
+        while unix_ms() - started < most_ms {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                note(&format!("router process {} has ended: {status}", self.child.id()));
+                return true;
+            }
+            sleep_ms(5);
+        }
+        false
+    }
+}
+
 pub fn wait_fit(listen: SocketAddr) {
     let end = Instant::now() + Duration::from_secs(20);
     while Instant::now() < end {
