--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -14,7 +14,8 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The processes that the case has started.
+static CHILDREN: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
 static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 static RECORD: Mutex<Option<File>> = Mutex::new(None);
 static STARTED_MS: OnceLock<f64> = OnceLock::new();
@@ -28,11 +29,15 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-/// Sets up the case: the record, a temporary folder, and a watchdog that ends it after 115 s.
+/// Sets up the case: the record, whose path is the program's argument, a temporary folder, and a watchdog
+/// that ends the case after 115 s.
 pub fn begin() -> bool {
-    let case = std::env::args().nth(1).unwrap_or_else(|| ".".into());
-    let record = File::create(PathBuf::from(case).join("record.txt"));
-    *RECORD.lock().unwrap() = record.ok();
+    let record = std::env::args().nth(1).and_then(|path| File::create(path).ok());
+    if record.is_none() {
+        eprintln!("the case could not run: its record can't be written");
+        std::process::exit(2);
+    }
+    *RECORD.lock().unwrap() = record;
     STARTED_MS.get_or_init(unix_ms);
     let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), unix_ms() as u64));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
@@ -58,10 +63,14 @@
     shell.status().is_ok_and(|status| status.success())
 }
 
-/// Ends all processes that the case started, removes the temporary folder and exits.
+/// Ends all processes that the case started and waits for their end, removes the temporary folder and exits.
 pub fn finish(code: i32) -> ! {
-    for pid in PIDS.lock().map(|pids| pids.clone()).unwrap_or_default() {
-        let _ = send_signal("KILL", pid);
+    let children = CHILDREN.lock().map(|children| children.clone()).unwrap_or_default();
+    for child in children {
+        let mut child = child.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        // An error means that it has ended already.
+        let _ = child.kill();
+        let _ = child.wait();
     }
     if let Some(folder) = FOLDER.get() {
         let _ = std::fs::remove_dir_all(folder);
@@ -594,7 +603,8 @@
 
 /// A request router, started by the line `run` of the deploy file.
 pub struct Router {
-    pub child: Child,
+    child: Arc<Mutex<Child>>,
+    pid: u32,
     pub listen: SocketAddr,
     pub config_path: PathBuf,
 }
@@ -711,14 +721,16 @@
         let log_2 = log.try_clone().unwrap();
         let child =
             command.stdin(Stdio::null()).stdout(log).stderr(log_2).spawn().expect("the router starts");
-        PIDS.lock().unwrap().push(child.id());
-        note(&format!("router {} started as process {}", settings.name, child.id()));
-        Router { child, listen: settings.listen, config_path: config.clone() }
+        let pid = child.id();
+        note(&format!("router {} started as process {pid}", settings.name));
+        let child = Arc::new(Mutex::new(child));
+        CHILDREN.lock().unwrap().push(child.clone());
+        Router { child, pid, listen: settings.listen, config_path: config.clone() }
     }
 
     pub fn signal(&self, name: &str) {
-        assert!(send_signal(name, self.child.id()), "the signal {name} was sent");
-        note(&format!("router process {}: SIG{name}", self.child.id()));
+        assert!(send_signal(name, self.pid), "the signal {name} was sent");
+        note(&format!("router process {}: SIG{name}", self.pid));
     }
 
     /// Waits until a PING is answered `fit`.
@@ -761,8 +773,8 @@
     pub fn ends_within(&mut self, most_ms: f64) -> bool {
         let started = unix_ms();
         while unix_ms() - started < most_ms {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                note(&format!("router process {} has ended: {status}", self.child.id()));
+            if let Ok(Some(status)) = self.child.lock().unwrap().try_wait() {
+                note(&format!("router process {} has ended: {status}", self.pid));
                 return true;
             }
             sleep_ms(5);
