Close a connection only when its client has read its replies

Cause: a connection counted as idle once its replies were passed to the kernel (release_if_idle), whether or not the client had read them. After the shutdown its requests are dropped.

Ruled out: the close timeout of 1 s (the requests are read and dropped before it), and the pause of 4 ms before a release (it only covers clients that have read everything).

Change: a connection is released, evicted, or closed as idle only if its client will notice within 25 ms. The kernel says whether bytes are unsent (poll with TCP_NOTSENT_LOWAT, by socket2, which has it without unsafe code); for what is in the client's receive buffer the time at 1 MB a second counts, for 128 KiB at most.

--- a/crates/hollymux/tests/handover.rs
+++ b/crates/hollymux/tests/handover.rs
@@ -444,3 +444,30 @@
     assert_eq!((draining.count(), removed.count()), (0, 0), "attempts at endpoints that get no work");
     assert!(setup.endpoints.iter().map(StubEndpoint::count).sum::<usize>() >= 150);
 }
+
+/// Guards against a replaced process that takes a connection for idle while its client still has
+/// replies to read, and throws away what the client asks for meanwhile.
+#[test]
+fn a_replaced_process_ends_no_connection_whose_client_still_reads() {
+    let setup = Setup::new(StubBehavior::Data(vec![b'x'; 238_000]));
+    let old = setup.start();
+    setup.assert_serves();
+    let mut client = Client::with_small_receive_buffer(setup.addr);
+    for tag in 1..=3 {
+        client.send_request(tag, "docs", next_request_id(), &format!(",obj={tag:016x}"));
+    }
+    wait_until("all requests to be replied to", || {
+        let metrics = admin_call(admin_address(&old), "GET /status/metrics").1;
+        metrics.contains("open_requests=0").then_some(())
+    });
+    let _new = setup.start();
+    old.signal("-TERM");
+    thread::sleep(Duration::from_millis(300));
+    client.send_request(4, "docs", next_request_id(), ",obj=0000000000000004");
+    let mut responses: Vec<String> = (0..4).map(|_| client.read_response()).collect();
+    responses.sort();
+    for (response, tag) in responses.iter().zip(1..) {
+        assert!(response.starts_with(&format!("{tag} good")), "{response:.60}");
+    }
+    assert_eq!(client.read_response(), "end");
+}
--- a/crates/server/src/clients/accept.rs
+++ b/crates/server/src/clients/accept.rs
@@ -113,7 +113,7 @@
     pub(crate) fn evict_client(&mut self) -> bool {
         let latest = self.now.saturating_sub(EVICTION_GRACE);
         let victim = self.connections.lowest_ranked(|connection| match connection {
-            ConnectionKind::Client(client) => eviction_rank(client, latest),
+            ConnectionKind::Client(client) => eviction_rank(client, self.now, latest),
             _ => None,
         });
         if let Some(token) = victim {
@@ -125,7 +125,7 @@
 
 /// The eviction rank of a connection; `None` if it may not be evicted. `latest` is the time since
 /// which a connection must have been idle or waiting for a message.
-fn eviction_rank(client: &ClientConnection, latest: Timestamp) -> Option<EvictionRank> {
+fn eviction_rank(client: &ClientConnection, now: Timestamp, latest: Timestamp) -> Option<EvictionRank> {
     if !client.is_idle() {
         return None;
     }
@@ -138,5 +138,5 @@
             (client.last_used < latest).then_some(EvictionRank::Idle(client.last_used))
         }
     };
-    rank.filter(|_| !client.has_unread_bytes())
+    rank.filter(|_| now >= client.close_noticed_from(now) && !client.has_unread_bytes())
 }
--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -23,6 +23,9 @@
 /// A connection is released only after it has been idle for this long. Otherwise the close would
 /// regularly cross the next request of a client that sends it as soon as it has a response.
 const RELEASE_PAUSE: Duration = Duration::from_millis(4);
+/// A connection may be closed this long before its client has read everything: a client sends a
+/// request again that crosses the close by 50 ms at most.
+const CLOSE_CROSSING_TIME: Duration = Duration::from_millis(25);
 /// Longest time that a client has to read the remaining responses and close its side, after the
 /// router has shut down its own side.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -67,6 +70,8 @@
     /// Whether the router has rejected a request because it is draining, so that the client knows
     /// that it must use another router.
     pub(super) rejected_while_draining: bool,
+    /// Whether a timer for the connection's release is set.
+    release_timer_set: bool,
 }
 
 impl ClientConnection {
@@ -82,6 +87,7 @@
             body_incomplete_since: None,
             wasted_requests: 0,
             rejected_while_draining: false,
+            release_timer_set: false,
         }
     }
 
@@ -90,6 +96,12 @@
         self.open_requests.is_empty() && self.output.is_empty()
     }
 
+    /// The time from which a client notices at once that its connection was closed; before that it
+    /// still has responses to read, and would lose the requests that it sends meanwhile.
+    pub(super) fn close_noticed_from(&self, now: Timestamp) -> Timestamp {
+        self.stream.read_by(now) - CLOSE_CROSSING_TIME
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         matches!(self.state, ClientState::Closing { .. })
     }
@@ -140,7 +152,8 @@
 
 impl Server {
     /// Closes a connection without open requests if the lifecycle does not let it stay open. Sets a
-    /// timer instead if the connection has not been idle for [`RELEASE_PAUSE`] yet.
+    /// timer instead if the connection has not been idle for [`RELEASE_PAUSE`] yet, or the client may
+    /// not have read its responses.
     pub(super) fn release_if_idle(&mut self, token: ConnectionToken, connection: &mut ClientConnection) {
         if connection.is_closing() || !connection.is_idle() {
             return;
@@ -149,10 +162,18 @@
         if self.lifecycle.keeps_idle_connection(self.now, first_awaited) {
             return;
         }
+        let close_noticed_from = connection.close_noticed_from(self.now);
         let pause_ends = connection.last_used + RELEASE_PAUSE;
         // A client that keeps sending after a rejection never pauses, so the pause is not awaited.
-        if !connection.rejected_while_draining && self.now < pause_ends {
-            self.timers.set(pause_ends, Timer::ReleaseClient(token));
+        let release_at = if connection.rejected_while_draining {
+            close_noticed_from
+        } else {
+            close_noticed_from.max(pause_ends)
+        };
+        if self.now < release_at {
+            if !std::mem::replace(&mut connection.release_timer_set, true) {
+                self.timers.set(release_at, Timer::ReleaseClient(token));
+            }
         } else if !connection.may_be_receiving() {
             connection.shutdown_write(self.now);
         }
@@ -161,6 +182,7 @@
     /// Called when the pause before a connection's release may be over.
     pub(crate) fn on_release_timer(&mut self, token: ConnectionToken) {
         if let Some(mut connection) = self.connections.take_client(token) {
+            connection.release_timer_set = false;
             self.release_if_idle(token, &mut connection);
             self.restore(token, ConnectionKind::Client(connection), ConnectionAction::Keep);
         }
@@ -208,7 +230,8 @@
             return ConnectionAction::Close;
         }
         if let ClientState::Closing { since } = connection.state {
-            let timed_out = self.now > since + CLOSE_TIMEOUT;
+            let end_read_at = connection.close_noticed_from(self.now).min(since + WRITE_TIMEOUT);
+            let timed_out = self.now > since + CLOSE_TIMEOUT && self.now >= end_read_at;
             return if timed_out { ConnectionAction::Close } else { ConnectionAction::Keep };
         }
         let idle_timed_out = self.now > connection.last_used + IDLE_TIMEOUT;
@@ -217,7 +240,8 @@
         // A client that has sent part of a message may still be waiting for responses to earlier
         // requests.
         let timed_out = connection.is_idle() && (idle_timed_out || message_timed_out);
-        if timed_out && !connection.has_unread_bytes() {
+        let notices_close = self.now >= connection.close_noticed_from(self.now);
+        if timed_out && notices_close && !connection.has_unread_bytes() {
             ConnectionAction::BeginClose
         } else {
             ConnectionAction::Keep
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod handover;
 mod housekeeping;
+mod read_progress;
 mod recording;
 mod server;
 mod shutdown;
--- /dev/null
+++ b/crates/server/src/read_progress.rs
@@ -0,0 +1,71 @@
+//! Estimates whether a peer has read what was written to its connection. A peer notices the end of a
+//! connection only after it has read everything before it, and goes on sending until then.
+
+use hollymux_decision::Timestamp;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use socket2::SockRef;
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The slowest reading of a peer that is provided for, in bytes per second.
+const SLOWEST_READ_BYTES_PER_SECOND: u64 = 1_000_000;
+/// The most that the peer's kernel holds for it, in bytes: the default receive buffer of Linux.
+const MAX_RECEIVE_QUEUE_BYTES: u64 = 128 << 10;
+/// A poll with this timeout does not wait.
+const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
+/// What is known of a peer's reading.
+pub(crate) struct ReadProgress {
+    /// Whether the kernel may hold written bytes that it has not sent yet, as the peer's receive
+    /// buffer was full.
+    may_have_unsent: Cell<bool>,
+    /// The time by which the peer has read what its kernel holds for it.
+    read_by: Cell<Timestamp>,
+}
+
+impl ReadProgress {
+    /// The progress on a connection on which nothing was written yet.
+    pub(crate) fn new(now: Timestamp) -> ReadProgress {
+        ReadProgress { may_have_unsent: Cell::new(false), read_by: Cell::new(now) }
+    }
+
+    /// Records that bytes were passed to the kernel.
+    pub(crate) fn on_written(&self, now: Timestamp, bytes: usize) {
+        let begins = self.read_by.get().max(now);
+        let latest = now + read_duration(MAX_RECEIVE_QUEUE_BYTES);
+        self.read_by.set((begins + read_duration(bytes as u64)).min(latest));
+        self.may_have_unsent.set(true);
+    }
+
+    /// The time by which a peer has read what was written, if nothing of it is unsent at `now`.
+    pub(crate) fn read_by(&self, now: Timestamp, socket: &TcpStream) -> Timestamp {
+        if self.may_have_unsent.get() {
+            if has_unsent_bytes(socket) {
+                self.read_by.set(now + read_duration(MAX_RECEIVE_QUEUE_BYTES));
+            } else {
+                self.may_have_unsent.set(false);
+            }
+        }
+        self.read_by.get()
+    }
+}
+
+/// How long the slowest peer needs to read this many bytes.
+fn read_duration(bytes: u64) -> Duration {
+    Duration::from_micros(bytes * 1_000_000 / SLOWEST_READ_BYTES_PER_SECOND)
+}
+
+/// Whether the kernel holds written bytes that it has not sent. False if the kernel doesn't say.
+fn has_unsent_bytes(socket: &TcpStream) -> bool {
+    let options = SockRef::from(socket);
+    // With a limit of one byte, the socket is writable only if no byte is unsent.
+    if options.set_tcp_notsent_lowat(1).is_err() {
+        return false;
+    }
+    let mut descriptors = [PollFd::new(socket, PollFlags::OUT)];
+    let is_unsent = poll(&mut descriptors, Some(&NO_WAIT)) == Ok(0);
+    // 0 stands for the default of the system.
+    let _restored = options.set_tcp_notsent_lowat(0);
+    is_unsent
+}
--- a/crates/server/src/sockets.rs
+++ b/crates/server/src/sockets.rs
@@ -1,5 +1,6 @@
 //! Streams with their write state, and functions that open sockets.
 
+use crate::read_progress::ReadProgress;
 use hollymux_decision::Timestamp;
 use hollymux_router::buffers::BufferChain;
 use rustix::net::{connect, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
@@ -22,18 +23,20 @@
     pub(crate) waiting_to_write: bool,
     /// When the socket last accepted bytes, or when output began to wait for it.
     last_write: Timestamp,
+    /// What is known of how far the peer has read.
+    read_progress: ReadProgress,
 }
 
 impl<S> Stream<S> {
     /// A connected stream without waiting output.
     pub(crate) fn new(socket: S, now: Timestamp) -> Stream<S> {
-        Stream { socket, waiting_to_write: false, last_write: now }
+        Stream { socket, waiting_to_write: false, last_write: now, read_progress: ReadProgress::new(now) }
     }
 
     /// A stream that is still connecting. It becomes writable when the connect has succeeded or
     /// failed.
     pub(crate) fn connecting(socket: S, now: Timestamp) -> Stream<S> {
-        Stream { socket, waiting_to_write: true, last_write: now }
+        Stream { waiting_to_write: true, ..Stream::new(socket, now) }
     }
 
     /// Whether the socket has accepted no output for longer than `timeout` although output waits.
@@ -68,6 +71,7 @@
                 Ok(length) => {
                     chain.advance(length);
                     self.last_write = now;
+                    self.read_progress.on_written(now, length);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -78,6 +82,13 @@
     }
 }
 
+impl Stream<TcpStream> {
+    /// The time by which the peer has read everything that was written, by what is known at `now`.
+    pub(crate) fn read_by(&self, now: Timestamp) -> Timestamp {
+        self.read_progress.read_by(now, &self.socket)
+    }
+}
+
 fn address_family(address: SocketAddr) -> AddressFamily {
     match address {
         SocketAddr::V4(_) => AddressFamily::INET,
