Drop a reply that a slow reader can't get, instead of closing its connection

Cause: reply_to_client closed a connection whose unread replies exceeded a quarter of the buffers (2.7 MB), less than one client may ask for (7.7 MB); nothing was refused before.

Ruled out: the write timeout (8 s, the close came after 0.5 s) and an exhausted pool (no rejection in the record before the close).

Change: a response whose body would exceed what its connection may hold reaches the router as Undeliverable: an idempotent request is rejected with retry advice, any other is failed. The connection stays. What one may hold shrinks with what is in use (twice what is free below three quarters of the pool), so one slow reader gets all, and many leave a quarter for others.

--- a/crates/hollymux/tests/slow_readers.rs
+++ b/crates/hollymux/tests/slow_readers.rs
@@ -54,3 +54,49 @@
     assert_eq!(client.read_response(), "end");
     assert!(standby.elapsed() < Duration::from_secs(4), "open until {:?} after", standby.elapsed());
 }
+
+/// Guards against closing the connection of a client that reads slowly, with requests open on it,
+/// because its replies take too much of the buffers.
+#[test]
+fn a_slow_reader_at_the_smallest_memory_limit_gets_a_reply_to_every_request() {
+    let feed = StubFeed::start();
+    let large = StubBehavior::Data(vec![b'x'; LARGE_OBJECT_BYTES]);
+    let endpoints = [large.clone(), large.clone(), large].map(StubEndpoint::start);
+    let roomy = |line: String| line.replace("\"capacity_hint\":4", "\"capacity_hint\":400");
+    let lines: Vec<String> = endpoint_lines(&endpoints).into_iter().map(roomy).collect();
+    feed.publish_endpoints(true, &lines);
+    let config = config(feed.addr).replace("\"memory_mb\":192", "\"memory_mb\":32");
+    let router = RouterProcess::with_config(&with_admin_endpoint(&config));
+    wait_for_endpoints(&router);
+    // Two clients have as many requests open as they may, and read nothing until all have ended.
+    let mut clients = [0, 1].map(|_| Client::with_small_receive_buffer(router.addr));
+    for (client, first_rid) in clients.iter_mut().zip([100, 200]) {
+        for tag in 1..=32 {
+            let class = if tag == 32 { "cert-filing" } else { "docs" };
+            client.send_request(tag, class, first_rid + u64::from(tag), &format!(",obj={tag:016x}"));
+        }
+    }
+    wait_for_replies(&router);
+    let (mut served, mut rejected) = (0, 0);
+    for client in &mut clients {
+        let mut tags: Vec<u32> = (1..=32).collect();
+        for _ in 0..32 {
+            let response = client.read_response();
+            let (tag, reply) = response.split_once(' ').expect("a reply");
+            let tag: u32 = tag.parse().expect("a tag");
+            tags.retain(|open| *open != tag);
+            if reply.starts_with("good") {
+                assert!(response.len() > LARGE_OBJECT_BYTES, "an incomplete reply");
+                served += 1;
+            } else {
+                assert!(
+                    reply.starts_with("refused backoff=") || (tag, reply) == (32, "broken"),
+                    "{response}"
+                );
+                rejected += 1;
+            }
+        }
+        assert_eq!(tags, [0; 0], "requests without a reply");
+    }
+    assert!(served >= 32, "{served} requests served, {rejected} rejected");
+}
--- a/crates/protocol/src/endpoint.rs
+++ b/crates/protocol/src/endpoint.rs
@@ -102,7 +102,7 @@
     match response {
         AttemptResponse::Data(digest, _) => is_write || digest.is_some(),
         AttemptResponse::NotModified(digest) => held == Some(digest.as_slice()),
-        AttemptResponse::ProbeResult(_) => false,
+        AttemptResponse::ProbeResult(_) | AttemptResponse::Undeliverable { .. } => false,
         AttemptResponse::Absent
         | AttemptResponse::AtCapacity
         | AttemptResponse::Failed
--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -20,6 +20,12 @@
 const INCOMPLETE_REQUESTS_DIVISOR: usize = 4;
 /// Divisor of the pool's limit in bytes that gives the limit of control data.
 const CONTROL_DIVISOR: usize = 8;
+/// Largest fraction of the pool's limit that may be in use when a connection adds to the replies that
+/// its client has not read. The rest is for the messages of other clients.
+const MAX_USE_FOR_UNREAD: f64 = 0.75;
+/// The unread replies of one connection may take this multiple of what is left up to
+/// [`MAX_USE_FOR_UNREAD`]: the more connections have unread replies, the less each of them may hold.
+const UNREAD_MULTIPLE_OF_FREE: f64 = 2.0;
 /// Control data is added to the last segment of a chain until that has this size.
 const MAX_CONTROL_SEGMENT_BYTES: usize = 4 * 1024;
 
@@ -108,6 +114,14 @@
         state.in_use as f64 > state.limit as f64 * share
     }
 
+    /// Whether a connection may hold this many bytes of replies that its client has not read. The
+    /// buffers of these replies are in use already.
+    pub fn may_hold_unread(&self, bytes: usize) -> bool {
+        let state = self.0.borrow();
+        let free = state.limit as f64 * MAX_USE_FOR_UNREAD - state.in_use as f64;
+        bytes as f64 <= free * BUFFER_BYTES as f64 * UNREAD_MULTIPLE_OF_FREE
+    }
+
     /// Whether this many further buffers may be acquired for a use.
     pub fn has_room(&self, buffers: usize, buffer_use: BufferUse) -> bool {
         self.0.borrow().available(buffer_use) >= buffers
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -186,6 +186,17 @@
     Named,
 }
 
+impl From<&Reply> for RequestResult {
+    fn from(reply: &Reply) -> RequestResult {
+        match reply {
+            Reply::Served(..) => RequestResult::Served,
+            Reply::NotModified(_) => RequestResult::NotModified,
+            Reply::Rejected(_) => RequestResult::Rejected,
+            Reply::Failed => RequestResult::Failed,
+        }
+    }
+}
+
 /// Why a request was closed with its result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResultReason {
@@ -203,7 +214,8 @@
     /// flight counts as [`AttemptStatus::Timeout`].
     Attempt(AttemptStatus),
     /// The request was rejected before it was opened: too much is pending on its client's
-    /// connection or in the buffers, or the process is stopping or in standby.
+    /// connection or in the buffers, or the process is stopping or in standby. Or it was served,
+    /// but its client has too much to read already.
     Overloaded,
 }
 
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -80,11 +80,26 @@
     Failed,
 }
 
+impl Reply {
+    /// The size of the reply's body in bytes.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Reply::Served(_, body) => body.len(),
+            Reply::NotModified(_) | Reply::Rejected(_) | Reply::Failed => 0,
+        }
+    }
+}
+
 /// The response of an endpoint to an attempt or to a probe.
 #[derive(Debug)]
 pub enum AttemptResponse {
     /// The attempt was served, with the body and the digest of the copy. A write has no digest.
     Data(Option<Vec<u8>>, BufferChain),
+    /// The attempt was served, but its body was dropped, as the client already has too much to read.
+    Undeliverable {
+        /// The size of the body in bytes.
+        bytes: usize,
+    },
     /// The client's copy, which has this digest, is current.
     NotModified(Vec<u8>),
     /// The endpoint has no usable copy and filled none, so the attempt never ran.
--- a/crates/router/src/router/admission.rs
+++ b/crates/router/src/router/admission.rs
@@ -54,7 +54,7 @@
         if let Err(reason) = self.admit(now, &request, &requested) {
             let reply = self.admission_reply(reason);
             self.count_reply(class, &reply);
-            commands.push(unopened_summary(now, &request, requested, result_of(&reply), reason));
+            commands.push(unopened_summary(now, &request, requested, RequestResult::from(&reply), reason));
             commands.push(Command::Reply(client, reply));
             return;
         }
@@ -161,18 +161,14 @@
     /// the request is rejected with the longest retry advice; for any other reason it is failed.
     fn admission_reply(&self, reason: ResultReason) -> Reply {
         match reason {
-            ResultReason::TableFull => Reply::Rejected(whole_micros(self.settings.max_retry_after) / 1_000),
+            ResultReason::TableFull => self.longest_retry_advice(),
             _ => Reply::Failed,
         }
     }
-}
 
-fn result_of(reply: &Reply) -> RequestResult {
-    match reply {
-        Reply::Served(..) => RequestResult::Served,
-        Reply::NotModified(_) => RequestResult::NotModified,
-        Reply::Rejected(_) => RequestResult::Rejected,
-        Reply::Failed => RequestResult::Failed,
+    /// A rejection with the longest retry advice.
+    pub(super) fn longest_retry_advice(&self) -> Reply {
+        Reply::Rejected(whole_micros(self.settings.max_retry_after) / 1_000)
     }
 }
 
--- a/crates/router/src/router/attempts.rs
+++ b/crates/router/src/router/attempts.rs
@@ -133,9 +133,14 @@
         let is_awaited = self.in_flight.contains_key(&attempt);
         let is_open = self.open_requests.contains_key(&attempt.request);
         let transfer_time_s = self.transfer_time_s(&response);
+        let is_undeliverable = matches!(response, AttemptResponse::Undeliverable { .. });
         let (status, reply) = classify_response(response);
-        if let Some(reply) = reply.filter(|_| is_awaited && is_open) {
-            self.reply(now, attempt.request, reply, commands);
+        if is_awaited && is_open {
+            if is_undeliverable {
+                self.reject_undeliverable(now, attempt.request, commands);
+            } else if let Some(reply) = reply {
+                self.reply(now, attempt.request, reply, commands);
+            }
         }
         // A cache status is ignored if the settings say that endpoints report none.
         let is_announced = self.settings.cache_status_reporting != CacheStatusReporting::None;
@@ -250,8 +255,12 @@
     /// The transfer time of a response in seconds, derived from the size of its body. `None` if the
     /// response carries no data or the throughput of a transfer is unknown.
     fn transfer_time_s(&self, response: &AttemptResponse) -> Option<f64> {
-        let AttemptResponse::Data(_, body) = response else { return None };
-        Some(body.len() as f64 / self.flow_bytes_per_s).filter(|seconds| seconds.is_finite())
+        let bytes = match response {
+            AttemptResponse::Data(_, body) => body.len(),
+            AttemptResponse::Undeliverable { bytes } => *bytes,
+            _ => return None,
+        };
+        Some(bytes as f64 / self.flow_bytes_per_s).filter(|seconds| seconds.is_finite())
     }
 
     /// Ends an attempt and passes its outcome to the decision module or the hint follower. Does
@@ -320,6 +329,7 @@
     match response {
         AttemptResponse::Data(digest, body) => (AttemptStatus::Ok, Some(Reply::Served(digest, body))),
         AttemptResponse::NotModified(digest) => (AttemptStatus::Ok, Some(Reply::NotModified(digest))),
+        AttemptResponse::Undeliverable { .. } => (AttemptStatus::Ok, None),
         AttemptResponse::Absent => (AttemptStatus::Miss, None),
         AttemptResponse::AtCapacity => (AttemptStatus::Full, None),
         AttemptResponse::Failed | AttemptResponse::ProbeResult(_) => (AttemptStatus::Error, None),
--- a/crates/router/src/router/replies.rs
+++ b/crates/router/src/router/replies.rs
@@ -5,9 +5,15 @@
 use crate::messages::{ClientHandle, Command, RequestResult, ResultReason};
 use crate::metrics::CountedEvent;
 use crate::request::Reply;
-use hollymux_decision::{Event, RequestId, Timestamp};
+use hollymux_decision::{Event, Idempotency, RequestId, Timestamp};
 
 impl Router {
+    /// The client that waits for the reply to a request; `None` if the request is closed or is a
+    /// lookup.
+    pub fn waiting_client(&self, request: RequestId) -> Option<ClientHandle> {
+        Some(self.open_requests.get(&request)?.client.as_ref()?.handle)
+    }
+
     /// Sends the final reply of a request and closes the request. For a lookup the reply becomes
     /// the lookup's result.
     pub(super) fn reply(
@@ -16,6 +22,37 @@
         request: RequestId,
         reply: Reply,
         commands: &mut Vec<Command>,
+    ) {
+        let reason = match (&reply, self.open_requests.get(&request)) {
+            (Reply::Served(..) | Reply::NotModified(_), _) | (_, None) => ResultReason::Completed,
+            (Reply::Rejected(_) | Reply::Failed, Some(open)) => open.failure_reason(),
+        };
+        self.reply_for_reason(now, request, reply, reason, commands);
+    }
+
+    /// Closes a request that was served, but whose client has too much to read already. An idempotent
+    /// request may be sent again without harm, any other has run.
+    pub(super) fn reject_undeliverable(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(open) = self.open_requests.get(&request) else { return };
+        let reply = match self.classes.idempotency(open.requested.class) {
+            Idempotency::Idempotent => self.longest_retry_advice(),
+            Idempotency::WithKey | Idempotency::NotIdempotent => Reply::Failed,
+        };
+        self.reply_for_reason(now, request, reply, ResultReason::Overloaded, commands);
+    }
+
+    fn reply_for_reason(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        reply: Reply,
+        reason: ResultReason,
+        commands: &mut Vec<Command>,
     ) {
         let Some(open) = self.open_requests.remove(&request) else {
             // A second reply is not sent: the client would take it for the reply to another
@@ -24,12 +61,8 @@
             debug_assert!(false, "second final reply to request {request}");
             return;
         };
-        let (result, reason, bytes) = match &reply {
-            Reply::Served(_, body) => (RequestResult::Served, ResultReason::Completed, body.len()),
-            Reply::NotModified(_) => (RequestResult::NotModified, ResultReason::Completed, 0),
-            Reply::Rejected(_) => (RequestResult::Rejected, open.failure_reason(), 0),
-            Reply::Failed => (RequestResult::Failed, open.failure_reason(), 0),
-        };
+        let result = RequestResult::from(&reply);
+        let bytes = reply.body_bytes();
         commands.push(open.summary(request, now, result, reason, bytes));
         let Some(client) = open.client else {
             self.lookup_result = Some(lookup_result(&reply));
--- a/crates/router/tests/buffers.rs
+++ b/crates/router/tests/buffers.rs
@@ -46,6 +46,36 @@
     assert!(pool.has_room(LIMIT, BufferUse::Message));
 }
 
+/// Guards against clients that read slowly and whose replies take the buffers of all others, and
+/// against one of them that gets less than it needs while the pool is free.
+#[test]
+fn unread_replies_leave_a_part_of_the_pool_however_many_clients_hold_them() {
+    const POOL_BUFFERS: usize = 160;
+    for clients in [1, 2, 8, 32] {
+        let pool = BufferPool::new(POOL_BUFFERS);
+        let mut unread: Vec<BufferChain> = (0..clients).map(|_| pool.chain()).collect();
+        loop {
+            let in_use = |unread: &[BufferChain]| unread.iter().map(BufferChain::len).sum::<usize>();
+            let before = in_use(&unread);
+            for chain in &mut unread {
+                let mut body = pool.chain();
+                body.extend(&[b'x'; BUFFER_BYTES]).expect("a part of the pool is always free");
+                if pool.may_hold_unread(chain.len() + body.len()) {
+                    chain.append(body);
+                }
+            }
+            if in_use(&unread) == before {
+                break;
+            }
+        }
+        assert!(pool.has_room(POOL_BUFFERS / 4, BufferUse::Message), "{clients} clients");
+        assert!(
+            !pool.has_room(POOL_BUFFERS / 2 + 2, BufferUse::Message),
+            "{clients} clients hold too little"
+        );
+    }
+}
+
 proptest! {
     /// Guards against bytes that are lost, doubled or out of order, and against counts that differ
     /// from what the chains hold.
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -257,6 +257,7 @@
         let responded = |response: AttemptResponse| Input::Responded(attempt, response, None);
         let data = || AttemptResponse::Data(Some(b"d1".to_vec()), self.pool.chain());
         let (input, may_have_run) = match how % 9 {
+            0 if pick.is_multiple_of(3) => (responded(AttemptResponse::Undeliverable { bytes: 9 }), true),
             0 | 1 => (responded(data()), true),
             2 => (responded(AttemptResponse::Absent), false),
             3 => (responded(AttemptResponse::AtCapacity), false),
@@ -390,6 +391,28 @@
     }
 }
 
+/// Guards against refusing a write that has run because its client reads slowly, and against failing a
+/// read that may be repeated.
+#[test]
+fn an_undeliverable_read_is_rejected_and_an_undeliverable_write_failed() {
+    for (class, is_rejected) in [(0, true), (1, false), (2, false)] {
+        let mut world = World::new();
+        world.send_request(1, class, 3);
+        let attempt = *world.in_flight.keys().last().expect("an attempt");
+        let response = AttemptResponse::Undeliverable { bytes: 240_000 };
+        let mut commands = Vec::new();
+        world.router.handle(world.now, Input::Responded(attempt, response, None), &mut commands);
+        let reply = commands.iter().find_map(|command| match command {
+            Command::Reply(_, reply) => Some(reply),
+            _ => None,
+        });
+        match reply {
+            Some(Reply::Rejected(retry_after_millis)) => assert!(is_rejected && *retry_after_millis == 1_000),
+            reply => assert!(!is_rejected && matches!(reply, Some(Reply::Failed)), "{class}: {reply:?}"),
+        }
+    }
+}
+
 /// Guards against a property test that passes because its worlds send, retry and answer nothing.
 #[test]
 fn orders_of_events_reach_retries_and_replies() {
--- a/crates/server/src/clients/responses.rs
+++ b/crates/server/src/clients/responses.rs
@@ -3,10 +3,11 @@
 use super::connection::ClientConnection;
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
+use hollymux_decision::RequestId;
 use hollymux_protocol::client;
-use hollymux_router::{ClientHandle, Input, Reply};
+use hollymux_router::{AttemptResponse, ClientHandle, Input, Reply};
 
-/// Largest fraction of all buffers that the unwritten output of one connection may fill.
+/// Largest fraction of all buffers that the unread replies to commands of one connection may fill.
 const MAX_OUTPUT_SHARE: f64 = 0.25;
 
 impl Server {
@@ -15,6 +16,33 @@
         connection.output.len() as f64 > self.buffers.limit_bytes() as f64 * MAX_OUTPUT_SHARE
     }
 
+    /// Drops the body of a response if its client has too much to read already. The request is then
+    /// closed without the body; its connection and the other requests on it stay as they are.
+    pub(crate) fn drop_undeliverable_body(&self, input: Input) -> Input {
+        match input {
+            Input::Responded(attempt, AttemptResponse::Data(_, body), cache_status)
+                if !self.is_deliverable(attempt.request, body.len()) =>
+            {
+                let bytes = body.len();
+                Input::Responded(attempt, AttemptResponse::Undeliverable { bytes }, cache_status)
+            }
+            input => input,
+        }
+    }
+
+    /// Whether the client of a request may get a body of this size. One that has read all of its
+    /// earlier replies may.
+    fn is_deliverable(&self, request: RequestId, body_bytes: usize) -> bool {
+        let Some(client) = self.router.waiting_client(request) else { return true };
+        match self.connections.get(ConnectionToken::from_u64(client.conn)) {
+            Some(ConnectionKind::Client(connection)) => {
+                let unread = connection.output.len();
+                unread == 0 || self.buffers.may_hold_unread(unread + body_bytes)
+            }
+            _ => true,
+        }
+    }
+
     /// Writes a final reply to its client. Drops it if the connection is closed.
     pub(crate) fn reply_to_client(&mut self, client: ClientHandle, reply: Reply) {
         let token = ConnectionToken::from_u64(client.conn);
@@ -26,11 +54,7 @@
         connection.last_used = self.now;
         connection.wasted_requests = 0;
         client::encode_reply(&mut connection.output, client.tag, reply);
-        let action = if self.has_too_much_output(&connection) {
-            ConnectionAction::Close
-        } else {
-            self.flush(token, &mut connection.stream, &mut connection.output)
-        };
+        let action = self.flush(token, &mut connection.stream, &mut connection.output);
         self.release_if_idle(token, &mut connection);
         self.restore(token, ConnectionKind::Client(connection), action);
     }
--- a/crates/server/src/execute.rs
+++ b/crates/server/src/execute.rs
@@ -10,6 +10,7 @@
     /// input is left.
     pub(crate) fn execute_pending(&mut self) {
         while let Some(input) = self.pending_inputs.pop_front() {
+            let input = self.drop_undeliverable_body(input);
             self.router.handle(self.now, input, &mut self.commands);
             for command in std::mem::take(&mut self.commands) {
                 self.execute(command);
