Give each client connection a share of the reading, so that a flood delays no other client

Cause: on_client read a connection up to 240 times 16 KiB for one event, and wrote each reply to a small command by a system call of its own. It reads that far as a request may only be passed on when what is behind it is known: it may be its cancel.

Ruled out: memory (flat), the decision module and timers (a ping ends in the handler).

Change: requests are held on their connection until what is behind them was read, and given to the router at the end of the turn; so a connection can be read in shares of 64 commands or reads. One that uses its share up is read on at the end of the next turns, all of them together for 4 ms a turn.

--- a/crates/protocol/src/resp.rs
+++ b/crates/protocol/src/resp.rs
@@ -107,6 +107,11 @@
         self.body.is_some()
     }
 
+    /// Returns true if the next byte belongs to a body.
+    pub fn is_in_body(&self) -> bool {
+        self.at_body() && matches!(self.step, Step::WordBytes { .. })
+    }
+
     /// Drops what is stored of an incomplete body. The rest of the body is skipped when it arrives,
     /// and its frame says that the body was dropped.
     pub fn drop_body(&mut self) {
--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client connection, and how it is closed.
 
+use super::input::InputProgress;
 use super::BUFFER_PRESSURE_THRESHOLD;
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken, Timer};
 use crate::housekeeping::WRITE_TIMEOUT;
@@ -72,6 +73,7 @@
     pub(super) rejected_while_draining: bool,
     /// Whether a timer for the connection's release is set.
     release_timer_set: bool,
+    pub(super) input: InputProgress,
 }
 
 impl ClientConnection {
@@ -88,6 +90,7 @@
             wasted_requests: 0,
             rejected_while_draining: false,
             release_timer_set: false,
+            input: InputProgress::new(now),
         }
     }
 
@@ -193,6 +196,7 @@
     pub(crate) fn begin_close(&mut self, token: ConnectionToken) {
         let Some(mut connection) = self.connections.take_client(token) else { return };
         connection.open_requests.clear();
+        connection.input.held_requests.clear();
         self.withdraw_all(token);
         connection.shutdown_write(self.now);
         self.restore(token, ConnectionKind::Client(connection), ConnectionAction::Keep);
@@ -205,10 +209,12 @@
         self.pending_inputs.push_back(Input::ClientClosed(connection));
     }
 
-    /// Whether any client connection has unwritten output.
-    pub(crate) fn any_client_has_output(&self) -> bool {
+    /// Whether any client connection has unwritten output, or requests that the router has not got.
+    pub(crate) fn any_client_is_pending(&self) -> bool {
         self.connections.iter().any(|(_, connection)| match connection {
-            ConnectionKind::Client(client) => !client.output.is_empty(),
+            ConnectionKind::Client(client) => {
+                !client.output.is_empty() || !client.input.held_requests.is_empty()
+            }
             _ => false,
         })
     }
--- a/crates/server/src/clients/mod.rs
+++ b/crates/server/src/clients/mod.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod buffer_shares;
 mod connection;
+mod input;
 mod requests;
 mod responses;
 #[cfg(test)]
--- a/crates/server/src/clients/responses.rs
+++ b/crates/server/src/clients/responses.rs
@@ -1,21 +1,12 @@
 //! Encoding the router's replies and writing them to clients.
 
-use super::connection::ClientConnection;
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
 use hollymux_decision::RequestId;
 use hollymux_protocol::client;
 use hollymux_router::{AttemptResponse, ClientHandle, Input, Reply};
 
-/// Largest fraction of all buffers that the unread replies to commands of one connection may fill.
-const MAX_OUTPUT_SHARE: f64 = 0.25;
-
 impl Server {
-    /// Whether the unwritten output of a connection exceeds its share of the buffers.
-    pub(super) fn has_too_much_output(&self, connection: &ClientConnection) -> bool {
-        connection.output.len() as f64 > self.buffers.limit_bytes() as f64 * MAX_OUTPUT_SHARE
-    }
-
     /// Drops the body of a response if its client has too much to read already. The request is then
     /// closed without the body; its connection and the other requests on it stay as they are.
     pub(crate) fn drop_undeliverable_body(&self, input: Input) -> Input {
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -61,13 +61,14 @@
             for timer in self.take_expired_timers() {
                 self.on_timer(timer);
             }
+            self.serve_busy_clients();
         }
         self.leave_cluster();
         Ok(())
     }
 
     fn wait_timeout(&self, may_end: bool) -> Duration {
-        if may_end {
+        if may_end || !self.busy_clients.is_empty() {
             return Duration::ZERO;
         }
         self.timers.time_to_next(self.now).unwrap_or(crate::housekeeping::HOUSEKEEPING_INTERVAL)
--- a/crates/server/src/event_loop/timers.rs
+++ b/crates/server/src/event_loop/timers.rs
@@ -36,6 +36,8 @@
     InitialListTimeout,
     /// Release a client connection if it is still idle.
     ReleaseClient(ConnectionToken),
+    /// Give the router the requests that are held back on a client connection.
+    HeldRequests(ConnectionToken),
     /// Ask the predecessor for the clients, if the endpoint feed has sent nothing new for a while.
     FeedQuiet,
     /// Begin to serve although the predecessor has not sent `Released`.
@@ -98,6 +100,7 @@
             Timer::Drain => self.on_drain_timer(),
             Timer::InitialListTimeout => self.try_begin_serving(true),
             Timer::ReleaseClient(token) => self.on_release_timer(token),
+            Timer::HeldRequests(token) => self.on_held_requests_timer(token),
             Timer::FeedQuiet => self.try_begin_serving(false),
             Timer::HandoverTimeout => self.begin_serving(),
             Timer::Cluster => self.on_cluster_timer(),
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -64,6 +64,9 @@
     pub(crate) paused_listeners: Vec<ConnectionToken>,
     /// Number of client connections, including DNS clients over TCP.
     pub(crate) client_count: usize,
+    /// Client connections that are served at the end of the turn: there is more to read, or requests
+    /// are held back.
+    pub(crate) busy_clients: VecDeque<ConnectionToken>,
     pub(crate) endpoints: EndpointConnections,
     /// The traffic recording; `None` if the operator's file does not configure one or restarting it
     /// has failed.
@@ -139,6 +142,7 @@
             client_listener: ConnectionToken::from_u64(0),
             paused_listeners: Vec::new(),
             client_count: 0,
+            busy_clients: VecDeque::new(),
             endpoints: EndpointConnections::default(),
             resolver: Resolver::new(config.seed),
             dns_zone: operator.dns.as_ref().map(|dns| dns.name()).unwrap_or_default(),
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -60,6 +60,7 @@
     /// Called at the drain timeout: all open requests end, and the event loop exits.
     pub(crate) fn on_drain_timeout(&mut self) {
         self.drain_timed_out = true;
+        self.release_all_requests();
         self.pending_inputs.push_back(Input::Shutdown);
     }
 
@@ -73,6 +74,6 @@
         self.lifecycle.has_lingered(self.now)
             && clients_gone
             && self.router.is_idle()
-            && !self.any_client_has_output()
+            && !self.any_client_is_pending()
     }
 }
