Release a draining connection once its rejection is written

Cause: since replies to commands are written after a read, no longer after each command, and the release of a connection right behind its rejection found the rejection unwritten: not idle.

Seen: standby_drains_all_connections_and_can_be_ended failed in 1 of 6 runs, a connection that always has a request open was still open 5.2 s after the standby call (4 s are allowed).

Change: the release is tried once the replies of a read are written.

--- a/crates/server/src/clients/input.rs
+++ b/crates/server/src/clients/input.rs
@@ -163,6 +163,12 @@
         if action == ConnectionAction::Keep && !connection.output.is_empty() {
             action = self.flush(token, &mut connection.stream, &mut connection.output);
         }
+        // Elsewhere, a connection is released after a reply of the router, but rejections are
+        // written without one. A client that keeps sending would then be released only if
+        // housekeeping happened to run in a pause.
+        if connection.rejected_while_draining {
+            self.release_if_idle(token, connection);
+        }
         if connection.input.has_more {
             connection.input.busy_until = self.now + BUSY_PERIOD;
         }
@@ -219,7 +225,7 @@
         loop {
             let command = match connection.decoder.feed(&mut bytes) {
                 Ok(None) => {
-                    self.on_input_consumed(token, connection);
+                    self.on_input_consumed(connection);
                     return ConnectionAction::Keep;
                 }
                 Ok(Some(frame)) => client::parse_command(frame),
@@ -240,19 +246,13 @@
     }
 
     /// Called when all complete messages of the received bytes are handled.
-    fn on_input_consumed(&mut self, token: ConnectionToken, connection: &mut ClientConnection) {
+    fn on_input_consumed(&mut self, connection: &mut ClientConnection) {
         if connection.decoder.is_mid_frame() && connection.state == ClientState::BetweenMessages {
             connection.state = ClientState::ReceivingMessage { since: self.now };
         }
         if connection.decoder.holds_body() {
             connection.body_incomplete_since.get_or_insert(self.now);
         }
-        // Elsewhere, a connection is released after a reply of the router, but rejections are
-        // written without one. A client that keeps sending would then be released only if
-        // housekeeping happened to run in a pause.
-        if connection.rejected_while_draining {
-            self.release_if_idle(token, connection);
-        }
     }
 
     /// Has a connection served at the end of the turn.
