End the work of a client as soon as the end of its connection is known

Change: epoll reports the close of a client's side (RDHUP) while everything before it is unread, and the connection ends at once; the check before an attempt polls for it. Where the end is not there yet (it waits behind what the kernel could not deliver), a client with more unread than the check reads counts as gone; requests are held for up to 250 ms while there is more to read.

--- a/crates/hollymux/tests/races.rs
+++ b/crates/hollymux/tests/races.rs
@@ -5,6 +5,8 @@
 
 use common::manual_endpoints::{FullBacklogEndpoint, HeldAttempt, ManualEndpoints};
 use common::*;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Longer than the time in which attempts may be sent for a client that has left, and than the
@@ -163,6 +165,40 @@
     assert_clean_shutdown(router);
 }
 
+/// Guards against sending attempts for a client that has left, because it had sent more than is read
+/// before its requests are passed on: the end of its connection was noticed long after.
+#[test]
+fn a_client_that_left_much_unread_gets_no_attempt() {
+    let (_feed, router, mut client, manual) = setup();
+    let mut flood = TcpStream::connect(router.addr).unwrap();
+    router.pause();
+    let fields = "rid=0000000000000700,budget=1500,piece=0,lot=17,obj=0000000000000007";
+    flood.write_all(&resp_array(&[b"DO", b"1", b"cert-filing", fields.as_bytes(), b"a body"])).unwrap();
+    // Fill what the kernel holds for a connection.
+    let cancels = resp_array(&[b"UNDO", b"2"]).repeat(4_000);
+    flood.set_nonblocking(true).unwrap();
+    let mut unread_bytes = 0;
+    wait_until("the connection to be full", || {
+        let before = unread_bytes;
+        while let Ok(written) = flood.write(&cancels[unread_bytes % cancels.len()..]) {
+            unread_bytes += written;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        (unread_bytes == before).then_some(())
+    });
+    drop(flood);
+    std::thread::sleep(PAUSE);
+    router.resume();
+    // By its second response, the router has handled what it read of the flood.
+    for tag in ["8", "9"] {
+        client.send(&resp_array(&[b"PING", tag.as_bytes()]));
+        assert_eq!(client.read_response(), format!("{tag} fit"));
+    }
+    let sent_ids: Vec<String> = manual.remaining().iter().map(|attempt| attempt.rid.clone()).collect();
+    assert!(sent_ids.is_empty(), "attempts for a client that left: {sent_ids:?}");
+    assert_clean_shutdown(router);
+}
+
 /// Guards against losing a non-idempotent request on a connection that its endpoint had closed
 /// before the request was written.
 #[test]
--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -11,6 +11,7 @@
 use hollymux_protocol::resp::Decoder;
 use hollymux_router::buffers::{BufferChain, BufferPool};
 use hollymux_router::Input;
+use rustix::event::epoll::EventFlags;
 use std::collections::BTreeMap;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -78,8 +79,10 @@
 
 impl ClientConnection {
     pub(super) fn new(socket: TcpStream, buffers: &BufferPool, now: Timestamp) -> ClientConnection {
+        let mut stream = Stream::new(socket, now);
+        stream.interest |= EventFlags::RDHUP;
         ClientConnection {
-            stream: Stream::new(socket, now),
+            stream,
             decoder: client::decoder(buffers),
             output: buffers.chain(),
             open_requests: BTreeMap::new(),
--- a/crates/server/src/clients/input.rs
+++ b/crates/server/src/clients/input.rs
@@ -27,8 +27,9 @@
 const BUSY_PERIOD: Duration = Duration::from_millis(100);
 /// Longest time in one turn for reading connections at its end.
 const MAX_READ_ON_TIME: Duration = Duration::from_millis(4);
-/// Longest time for which a request is held back because there is more to read behind it.
-const MAX_HOLD_TIME: Duration = Duration::from_millis(100);
+/// Longest time for which a request is held back because there is more to read behind it: enough to
+/// read what the kernel's buffers hold of a connection.
+const MAX_HOLD_TIME: Duration = Duration::from_millis(250);
 /// Longest time for which a request is held back because the message behind it is incomplete.
 const MAX_INCOMPLETE_HOLD_TIME: Duration = Duration::from_millis(10);
 /// A connection that was read longer ago is read again before its requests are given to the router.
@@ -122,6 +123,10 @@
                 connection.shutdown_write(self.now);
             }
         }
+        // Nothing is owed to a client that has closed its side, whatever it sent before.
+        if flags.contains(EventFlags::RDHUP) {
+            return ConnectionAction::Close;
+        }
         if !flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
             return ConnectionAction::Keep;
         }
@@ -134,7 +139,7 @@
     }
 
     /// Whether a client has cancelled a request or closed its connection. Bytes that have already
-    /// arrived are read and handled first.
+    /// arrived are read and handled first. A client that has sent too much for that counts as gone.
     pub(crate) fn client_has_left(&mut self, client: ClientHandle) -> bool {
         let token = ConnectionToken::from_u64(client.conn);
         if !self.connections.is_open(token) {
@@ -142,8 +147,12 @@
         }
         // A handler has taken the connection out, and has just read it.
         let Some(mut connection) = self.connections.take_client(token) else { return false };
-        let action = self.read_client(token, &mut connection, LEFT_CHECK);
-        let has_left = !connection.open_requests.contains_key(&client.tag);
+        let action = if connection.stream.peer_has_closed() {
+            ConnectionAction::Close
+        } else {
+            self.read_client(token, &mut connection, LEFT_CHECK)
+        };
+        let has_left = !connection.open_requests.contains_key(&client.tag) || connection.input.has_more;
         self.restore(token, ConnectionKind::Client(connection), action);
         has_left || action != ConnectionAction::Keep
     }
--- a/crates/server/src/event_loop/io.rs
+++ b/crates/server/src/event_loop/io.rs
@@ -54,9 +54,12 @@
     /// fails.
     pub(crate) fn insert(&mut self, connection: ConnectionKind) -> io::Result<ConnectionToken> {
         let token = self.connections.reserve();
-        // These sockets are still connecting; they become writable when the connect ends.
-        let is_connecting = matches!(connection, ConnectionKind::Endpoint(_) | ConnectionKind::Feed(_));
-        let flags = if is_connecting { EventFlags::IN | EventFlags::OUT } else { EventFlags::IN };
+        let flags = match &connection {
+            // These sockets are still connecting; they become writable when the connect ends.
+            ConnectionKind::Endpoint(_) | ConnectionKind::Feed(_) => EventFlags::IN | EventFlags::OUT,
+            ConnectionKind::Client(client) => client.stream.interest,
+            _ => EventFlags::IN,
+        };
         let data = epoll::EventData::new_u64(token.as_u64());
         if let Err(error) = epoll::add(&self.epoll, connection.as_fd(), data, flags) {
             self.connections.release(token);
@@ -133,7 +136,7 @@
             return;
         }
         stream.waiting_to_write = wanted;
-        let flags = if wanted { EventFlags::IN | EventFlags::OUT } else { EventFlags::IN };
+        let flags = if wanted { stream.interest | EventFlags::OUT } else { stream.interest };
         let data = epoll::EventData::new_u64(token.as_u64());
         let _modified = epoll::modify(&self.epoll, &stream.socket, data, flags);
     }
--- a/crates/server/src/read_progress.rs
+++ b/crates/server/src/read_progress.rs
@@ -1,8 +1,9 @@
 //! Estimates whether a peer has read what was written to its connection. A peer notices the end of a
 //! connection only after it has read everything before it, and goes on sending until then.
 
+use crate::sockets::NO_WAIT;
 use hollymux_decision::Timestamp;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::event::{poll, PollFd, PollFlags};
 use socket2::SockRef;
 use std::cell::Cell;
 use std::net::TcpStream;
@@ -12,8 +13,6 @@
 const SLOWEST_READ_BYTES_PER_SECOND: u64 = 1_000_000;
 /// The most that the peer's kernel holds for it, in bytes: the default receive buffer of Linux.
 const MAX_RECEIVE_QUEUE_BYTES: u64 = 128 << 10;
-/// A poll with this timeout does not wait.
-const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
 
 /// What is known of a peer's reading.
 pub(crate) struct ReadProgress {
--- a/crates/server/src/sockets.rs
+++ b/crates/server/src/sockets.rs
@@ -3,6 +3,8 @@
 use crate::read_progress::ReadProgress;
 use hollymux_decision::Timestamp;
 use hollymux_router::buffers::BufferChain;
+use rustix::event::epoll::EventFlags;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::{connect, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,6 +14,9 @@
 /// repeated by the client's kernel after a second.
 const ACCEPT_BACKLOG: i32 = 4_096;
 
+/// A poll with this timeout does not wait.
+pub(crate) const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
 /// Flags of every socket: operations don't block the event loop, and child processes don't inherit
 /// it.
 pub(crate) const SOCKET_FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
@@ -25,12 +30,15 @@
     last_write: Timestamp,
     /// What is known of how far the peer has read.
     read_progress: ReadProgress,
+    /// The events that epoll reports at any time; those of writing are added while output waits.
+    pub(crate) interest: EventFlags,
 }
 
 impl<S> Stream<S> {
     /// A connected stream without waiting output.
     pub(crate) fn new(socket: S, now: Timestamp) -> Stream<S> {
-        Stream { socket, waiting_to_write: false, last_write: now, read_progress: ReadProgress::new(now) }
+        let read_progress = ReadProgress::new(now);
+        Stream { socket, waiting_to_write: false, last_write: now, read_progress, interest: EventFlags::IN }
     }
 
     /// A stream that is still connecting. It becomes writable when the connect has succeeded or
@@ -87,6 +95,12 @@
     pub(crate) fn read_by(&self, now: Timestamp) -> Timestamp {
         self.read_progress.read_by(now, &self.socket)
     }
+
+    /// Whether the peer is known to have closed its side, however much it sent before is unread.
+    pub(crate) fn peer_has_closed(&self) -> bool {
+        let mut descriptors = [PollFd::new(&self.socket, PollFlags::RDHUP)];
+        poll(&mut descriptors, Some(&NO_WAIT)).is_ok_and(|ready| ready > 0)
+    }
 }
 
 fn address_family(address: SocketAddr) -> AddressFamily {
