Forget the oldest writes when their table is full, instead of rejecting all for an hour

A client that sends writes of ever new ids, which the protocol asks for, so shut all others out.

Change: an entry that no lookup made may be forgotten after a minute, the oldest first, if its room is needed. Those of lookups are kept for an hour, as the README promises their callers.

Measured: the new test fails without the change ("writes rejected though old ones may be forgotten").

--- a/crates/router/src/pending_writes.rs
+++ b/crates/router/src/pending_writes.rs
@@ -1,13 +1,19 @@
-//! The table of pending writes: non-idempotent requests that may have run, remembered by their id
-//! so that none runs twice.
+//! The table of pending writes: requests that may have run and must not run again, remembered by their
+//! id.
 
 use crate::handover_state::PendingWrite;
 use hollymux_decision::{EndpointId, Timestamp};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// The minimum time for which a pending write is remembered.
-const RETENTION_PERIOD: Duration = Duration::from_secs(3_600);
+/// The minimum time for which a pending write is remembered that a lookup named an endpoint for: its
+/// caller may look it up again.
+const LOOKUP_RETENTION: Duration = Duration::from_secs(3_600);
+/// The minimum time for which a pending write is remembered that was sent to this router. It is
+/// remembered for [`LOOKUP_RETENTION`] as well, unless its room is needed.
+const MIN_RETENTION: Duration = Duration::from_secs(60);
+/// When the table is full, room is made for this fraction of it at once, as a divisor.
+const EVICTION_DIVISOR: usize = 16;
 /// Maximum number of entries in the table, whatever the memory limit is.
 const MAX_PENDING_WRITES: usize = 100_000;
 /// Maximum number of entries for each MB of the memory limit. An entry takes about 120 bytes.
@@ -30,9 +36,9 @@
     request_id: u64,
 }
 
-/// The table of non-idempotent requests that may have run. Its size is bounded; within the bound,
-/// an entry is kept for at least [`RETENTION_PERIOD`] unless its request turns out never to have
-/// run.
+/// The table of requests that may have run and must not run again. Its size is bounded; within the
+/// bound, an entry is kept for at least [`LOOKUP_RETENTION`] or [`MIN_RETENTION`], unless its request
+/// turns out never to have run.
 #[derive(Debug)]
 pub(crate) struct PendingWrites {
     by_id: HashMap<u64, RememberedWrite>,
@@ -74,11 +80,14 @@
     }
 
     /// Adds an entry for a request, with the endpoint that a lookup named for it. Returns false if
-    /// the table is full of entries younger than [`RETENTION_PERIOD`].
+    /// the table is full of entries that must be kept.
     pub(crate) fn add(&mut self, now: Timestamp, request_id: u64, endpoint: Option<EndpointId>) -> bool {
         if self.by_id.len() >= self.max_entries || self.by_arrival.len() >= 2 * self.max_entries {
             self.forget_old(now);
         }
+        if self.by_id.len() >= self.max_entries {
+            self.evict_oldest(now);
+        }
         if self.by_id.len() >= self.max_entries {
             return false;
         }
@@ -97,7 +106,7 @@
         self.by_id.remove(&request_id);
     }
 
-    /// Removes outdated arrivals, and entries older than [`RETENTION_PERIOD`].
+    /// Removes outdated arrivals, and entries older than [`LOOKUP_RETENTION`].
     fn forget_old(&mut self, now: Timestamp) {
         // Outdated arrivals must not take up the room of requests that may have run.
         let by_id = &self.by_id;
@@ -105,7 +114,7 @@
             by_id.get(&arrival.request_id).is_some_and(|entry| entry.arrived == arrival.arrived)
         };
         self.by_arrival.retain(is_current);
-        let is_old = |arrival: &Arrival| now >= arrival.arrived + RETENTION_PERIOD;
+        let is_old = |arrival: &Arrival| now >= arrival.arrived + LOOKUP_RETENTION;
         while self.by_arrival.front().is_some_and(is_old) {
             if let Some(oldest) = self.by_arrival.pop_front() {
                 self.by_id.remove(&oldest.request_id);
@@ -113,6 +122,22 @@
         }
     }
 
+    /// Removes the oldest entries that no lookup made and that are older than [`MIN_RETENTION`].
+    fn evict_oldest(&mut self, now: Timestamp) {
+        let mut excess = (self.max_entries / EVICTION_DIVISOR).max(1);
+        let by_id = &mut self.by_id;
+        self.by_arrival.retain(|arrival| {
+            let is_evictable = excess > 0
+                && now >= arrival.arrived + MIN_RETENTION
+                && by_id.get(&arrival.request_id).is_some_and(|entry| entry.endpoint.is_none());
+            if is_evictable {
+                by_id.remove(&arrival.request_id);
+                excess -= 1;
+            }
+            !is_evictable
+        });
+    }
+
     /// Returns all entries in order of arrival, to be handed over to a successor. Entries added
     /// from now on are collected for [`PendingWrites::take_untransferred`].
     pub(crate) fn begin_transfer(&mut self) -> Vec<PendingWrite> {
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -109,11 +109,15 @@
 
 impl World {
     fn new() -> World {
+        World::with_memory(64)
+    }
+
+    fn with_memory(memory_mb: u64) -> World {
         let options = RouterOptions {
             settings: settings(),
             classes: CLASS_NAMES.map(str::to_string).to_vec(),
             seed: 7,
-            memory_mb: 64,
+            memory_mb,
             flow_bytes_per_s: 300_000.0,
         };
         let mut world = World {
@@ -226,13 +230,18 @@
         }
     }
 
-    /// Sends a request of a client.
+    /// Sends a request of a client, with an id of its own.
     fn send_request(&mut self, connection: u64, class: usize, object: u64) {
+        self.send_request_with_id(connection, class, object, self.serial as u64 + 1);
+    }
+
+    /// Sends a request of a client with this id.
+    fn send_request_with_id(&mut self, connection: u64, class: usize, object: u64, id: u64) {
         self.serial += 1;
         let tag = self.serial as u64;
         let number = |value: u64| ReceivedNumber { text: format!("{value:016x}").into_bytes(), value };
         let request = ClientRequest {
-            request_id: number(tag),
+            request_id: number(id),
             class: CLASS_NAMES[class].into(),
             object: number(object),
             chunk: 0,
@@ -391,6 +400,34 @@
     }
 }
 
+/// Guards against a flood of writes after which all others are rejected for an hour, and against
+/// forgetting writes that came shortly before.
+#[test]
+fn a_full_table_of_writes_forgets_those_older_than_a_minute() {
+    let mut world = World::with_memory(1);
+    let write = |world: &mut World, id: u64| {
+        world.send_request_with_id(1, 2, 3, id);
+        let attempt = world.in_flight.keys().next().copied();
+        if let Some(attempt) = attempt {
+            world.record_attempt_end(attempt, true);
+            let served = AttemptResponse::Data(None, world.pool.chain());
+            world.apply_input(Input::Responded(attempt, served, None));
+        }
+        attempt.is_some()
+    };
+    // The table has 1,000 entries.
+    assert!((0..1_000).all(|id| write(&mut world, 1 + id)));
+    assert!(!write(&mut world, 5_000), "a write beyond the table");
+    world.advance(Duration::from_secs(50), false);
+    assert!(!write(&mut world, 5_000), "a write beyond the table, which holds none of a minute ago");
+    world.advance(Duration::from_secs(11), false);
+    assert!(
+        (0..50).all(|id| write(&mut world, 5_000 + id)),
+        "writes rejected though old ones may be forgotten"
+    );
+    assert!(!write(&mut world, 1_000) && !write(&mut world, 5_049), "a write that has run is sent again");
+}
+
 /// Guards against refusing a write that has run because its client reads slowly, and against failing a
 /// read that may be repeated.
 #[test]
