Fail an id with an idempotency key that comes again after it may have run

Cause: only non-idempotent requests were kept in the table of those that may have run; what the decision module knows of a key's attempts ends with their request.

Ruled out: non-idempotent requests (the same test passes for them before the change).

Change: a request with a key that may have run enters the table when it is closed, answered or not.

Measured: the new test fails without the change (an attempt in flight, no reply).

--- a/crates/router/src/router/admission.rs
+++ b/crates/router/src/router/admission.rs
@@ -111,8 +111,8 @@
     ) -> Result<(), ResultReason> {
         self.check_request_id(request)?;
         self.check_budget(request, requested.class)?;
+        self.check_not_sent_before(requested)?;
         let write_id = requested.request_id.filter(|_| self.is_non_idempotent(requested.class));
-        self.check_not_sent_before(write_id)?;
         self.reserve_room(now, write_id)
     }
 
@@ -136,10 +136,14 @@
         Ok(())
     }
 
-    /// Returns an error if a non-idempotent request may have run: one with its id was accepted
-    /// before, or a lookup named an endpoint for it.
-    fn check_not_sent_before(&self, write_id: Option<u64>) -> Result<(), ResultReason> {
-        if write_id.is_some_and(|id| self.pending_writes.contains(id)) {
+    /// Returns an error if a request that must not run twice may have run: one with its id was
+    /// accepted before, or a lookup named an endpoint for it. That holds with an idempotency key too,
+    /// as it is not known where the key is remembered and for how long.
+    fn check_not_sent_before(&self, requested: &RequestedObject) -> Result<(), ResultReason> {
+        if self.classes.idempotency(requested.class) == Idempotency::Idempotent {
+            return Ok(());
+        }
+        if requested.request_id.is_some_and(|id| self.pending_writes.contains(id)) {
             return Err(ResultReason::MayHaveRun);
         }
         Ok(())
--- a/crates/router/src/router/replies.rs
+++ b/crates/router/src/router/replies.rs
@@ -1,5 +1,6 @@
 //! Closing of requests: the final reply, cancellation, and the counters of replies.
 
+use super::open_request::OpenRequest;
 use super::Router;
 use crate::hint_follower::LookupResult;
 use crate::messages::{ClientHandle, Command, RequestResult, ResultReason};
@@ -64,23 +65,42 @@
         let result = RequestResult::from(&reply);
         let bytes = reply.body_bytes();
         commands.push(open.summary(request, now, result, reason, bytes));
-        let Some(client) = open.client else {
+        let Some(client) = open.client.as_ref().map(|client| client.handle) else {
             self.lookup_result = Some(lookup_result(&reply));
             self.release_timers(request, commands);
             return;
         };
-        self.by_client.remove(&client.handle);
-        if let Some(client_id) = open.requested.request_id {
-            self.open_client_ids.remove(&client_id);
-            if result == RequestResult::Rejected && self.is_non_idempotent(open.requested.class) {
-                // A rejected non-idempotent request never ran, so the client may send it again with
-                // the same id.
+        self.by_client.remove(&client);
+        self.release_client_id(now, request, &open, result);
+        self.count_reply(open.requested.class, &reply);
+        commands.push(Command::Reply(client, reply));
+        self.release_timers(request, commands);
+    }
+
+    /// Releases the id of a request that is being closed with this result. One that may have run and
+    /// must not run again stays known, also when its client has left.
+    fn release_client_id(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        open: &OpenRequest,
+        result: RequestResult,
+    ) {
+        let Some(client_id) = open.requested.request_id else { return };
+        self.open_client_ids.remove(&client_id);
+        match self.classes.idempotency(open.requested.class) {
+            // A rejected non-idempotent request never ran, so the client may send it again with the
+            // same id.
+            Idempotency::NotIdempotent if result == RequestResult::Rejected => {
                 self.pending_writes.remove(client_id);
             }
+            Idempotency::WithKey => {
+                let may_have_run = open.may_have_run_since.is_some() || self.has_attempt_in_flight(request);
+                // A full table does not keep requests with an idempotency key from being served.
+                let _added = may_have_run && self.pending_writes.add(now, client_id, None);
+            }
+            Idempotency::NotIdempotent | Idempotency::Idempotent => {}
         }
-        self.count_reply(open.requested.class, &reply);
-        commands.push(Command::Reply(client.handle, reply));
-        self.release_timers(request, commands);
     }
 
     /// Cancels the timers of a request that is closed and has no attempt in flight.
@@ -110,9 +130,7 @@
     ) {
         let Some(request) = self.by_client.remove(&client) else { return };
         let Some(open) = self.open_requests.remove(&request) else { return };
-        if let Some(client_id) = open.requested.request_id {
-            self.open_client_ids.remove(&client_id);
-        }
+        self.release_client_id(now, request, &open, RequestResult::Cancelled);
         commands.push(open.summary(request, now, RequestResult::Cancelled, open.failure_reason(), 0));
         self.decide(now, open.mode, Event::Withdrawn { request }, commands);
         self.release_timers(request, commands);
--- a/crates/router/tests/interleavings.rs
+++ b/crates/router/tests/interleavings.rs
@@ -400,6 +400,36 @@
     }
 }
 
+/// Guards against an id that runs a second time when it comes again after its client has left, at
+/// another endpoint or after the window in which endpoints recognise it.
+#[test]
+fn an_id_that_may_have_run_does_not_run_again_after_its_client_has_left() {
+    for class in [1, 2] {
+        for pause in [Duration::from_millis(10), 2 * IDEMPOTENCY_WINDOW] {
+            let mut world = World::new();
+            world.send_request_with_id(1, class, 3, 700);
+            assert_eq!(world.in_flight.len(), 1, "an attempt");
+            world.close_client(1);
+            world.advance(pause, false);
+            world.send_request_with_id(2, class, 3, 700);
+            assert_eq!((world.in_flight.len(), world.replies), (0, 1), "class {class}, after {pause:?}");
+        }
+    }
+    // One that never ran may come again.
+    let mut world = World::new();
+    world.send_request_with_id(1, 1, 3, 700);
+    for _ in 0..MAX_ATTEMPTS {
+        if let Some(attempt) = world.in_flight.keys().next().copied() {
+            world.record_attempt_end(attempt, false);
+            world.apply_input(Input::Responded(attempt, AttemptResponse::AtCapacity, None));
+        }
+    }
+    assert_eq!(world.replies, 1, "rejected");
+    world.advance(Duration::from_secs(20), false);
+    world.send_request_with_id(1, 1, 3, 700);
+    assert_eq!(world.in_flight.len(), 1, "an id that never ran");
+}
+
 /// Guards against a flood of writes after which all others are rejected for an hour, and against
 /// forgetting writes that came shortly before.
 #[test]
