Tell a process that is replaced of the ids that its successor has accepted

The old process told the new one of ids that must not run twice, but not the other way: an id that ran at the new process ran again on a connection that the old one still served. A request with an idempotency key was known to neither while it was open at the other.

Change: both processes report new entries for as long as both run; what one has reported is not sent back to it. The old process says behind its state that it reads them, as an earlier program would end the handover; an earlier program ignores that byte. A request with a key is in the table from its arrival and leaves it if it can't have run.

--- a/crates/hollymux/tests/handover.rs
+++ b/crates/hollymux/tests/handover.rs
@@ -233,6 +233,32 @@
     drop(old);
 }
 
+/// Guards against an id that runs again at the process that is being replaced, where an earlier
+/// connection of its client still ends, after it ran at the new process.
+#[test]
+fn no_non_idempotent_request_is_sent_twice_at_the_old_process() {
+    let setup = Setup::new(StubBehavior::NoResponse);
+    let old = setup.start();
+    let mut old_client = Client::connect(setup.addr);
+    old_client.send(&resp_array(&[b"PING", b"1"]));
+    assert_eq!(old_client.read_response(), "1 fit");
+    let _new = setup.start();
+    let attempt_count = || -> usize {
+        let received = |endpoint: &StubEndpoint| {
+            endpoint.received().iter().filter(|attempt| attempt.rid.ends_with("00f3")).count()
+        };
+        setup.endpoints.iter().map(received).sum()
+    };
+    let mut new_client = Client::connect(setup.addr);
+    new_client.send_request(1, "cert-filing", 0xf3, ",obj=0000000000000009");
+    wait_until("the attempt of the new process", || (attempt_count() == 1).then_some(()));
+    drop(new_client);
+    assert_eq!(old_client.get(2, "cert-filing", 0xf3, 9), "2 broken");
+    assert_eq!(attempt_count(), 1);
+    // The old process stays the one that is replaced: the message does not end the handover.
+    assert_eq!(admin_call(admin_address(&old), "GET /status").1, "replaced\n");
+}
+
 /// Guards against a successor that doesn't know of a drain, because its feed is silent.
 #[test]
 fn a_drain_is_handed_over_while_the_feed_is_silent() {
--- a/crates/hollymux/tests/handover_bytes.rs
+++ b/crates/hollymux/tests/handover_bytes.rs
@@ -189,6 +189,11 @@
         (!self.bytes.is_empty()).then(|| self.number())
     }
 
+    /// Whether the predecessor wants to be told of pending writes, which may follow the position.
+    fn accepts_pending_writes(&mut self) -> bool {
+        !self.bytes.is_empty() && self.number() == 1
+    }
+
     fn legacy(&mut self) -> Value {
         json!({"zones": self.texts(), "kinds": self.texts(), "classes": self.texts(),
                "members": self.list(Decoder::member), "filings": self.list(Decoder::filing),
@@ -203,6 +208,7 @@
         LEGACY => {
             let state = json!({"legacy": decoder.option(Decoder::legacy)});
             decoder.feed_position();
+            decoder.accepts_pending_writes();
             state
         }
         YOURS => json!("yours"),
@@ -222,6 +228,15 @@
     decoder.feed_position()
 }
 
+/// Whether the sender of the state wants to be told of pending writes.
+fn accepts_pending_writes(frames: &[(u8, Vec<u8>)]) -> bool {
+    let state = frames.iter().find(|frame| frame.0 == LEGACY).unwrap();
+    let mut decoder = Decoder { bytes: &state.1[HEADER_LENGTH..] };
+    decoder.option(Decoder::legacy);
+    decoder.feed_position();
+    decoder.accepts_pending_writes()
+}
+
 fn decode_to_text(frames: &[(u8, Vec<u8>)]) -> String {
     let lines = frames.iter().map(|frame| serde_json::to_string_pretty(&decode(frame)).unwrap());
     lines.collect::<Vec<_>>().join("\n")
@@ -382,6 +397,7 @@
     let frames = take_over();
     insta::assert_snapshot!("frames", decode_to_text(&frames));
     assert_eq!(feed_position(&frames), Some(5), "five events were published");
+    assert!(accepts_pending_writes(&frames));
 }
 
 // ---- a predecessor in the test hands over to a program ----
@@ -405,6 +421,7 @@
     let frames = split_frames(&std::fs::read(fixture()).unwrap());
     insta::assert_snapshot!("frames", decode_to_text(&frames));
     assert_eq!(feed_position(&frames), None, "the earlier program did not send the position");
+    assert!(!accepts_pending_writes(&frames), "the earlier program does not read pending writes");
 }
 
 /// The generation of the predecessor in the fixture, by which other routers identify its process.
--- a/crates/protocol/src/handover.rs
+++ b/crates/protocol/src/handover.rs
@@ -46,13 +46,17 @@
         /// The number of the last event of the endpoint feed that the state includes. `None` if the
         /// message has another version, or comes from a build that does not send it.
         feed_position: Option<u64>,
+        /// Whether the predecessor wants to be told of the successor's pending writes. False for the
+        /// reasons above.
+        accepts_pending_writes: bool,
     },
     /// The successor is ready to accept connections.
     TakeOver,
     /// The predecessor no longer accepts connections.
     Released,
-    /// The predecessor sends the pending writes that were added since its state or its last message
-    /// of this kind. The list is empty if the message has another version.
+    /// The pending writes that were added since the predecessor's state or the sender's last message
+    /// of this kind. The successor sends them only to a predecessor that accepts them. The list is
+    /// empty if the message has another version.
     PendingWrites(Vec<PendingWrite>),
     /// The predecessor refuses the handover because it cannot hand over now.
     Declined,
@@ -76,10 +80,15 @@
     pub fn encode(&self) -> Vec<u8> {
         match self {
             HandoverMessage::Hello(address) => encode_frame(kind::HELLO, address),
-            HandoverMessage::State { state, feed_position: None } => encode_frame(kind::STATE, state),
-            // A receiver that does not know of the position ignores what follows the state.
-            HandoverMessage::State { state, feed_position: Some(position) } => {
-                encode_frame(kind::STATE, &(state, position))
+            HandoverMessage::State { state, feed_position: None, .. } => encode_frame(kind::STATE, state),
+            // A receiver that does not know of what follows the state, or the position, ignores it.
+            HandoverMessage::State {
+                state,
+                feed_position: Some(position),
+                accepts_pending_writes: false,
+            } => encode_frame(kind::STATE, &(state, position)),
+            HandoverMessage::State { state, feed_position: Some(position), accepts_pending_writes } => {
+                encode_frame(kind::STATE, &(state, position, accepts_pending_writes))
             }
             HandoverMessage::TakeOver => encode_frame(kind::TAKE_OVER, &()),
             HandoverMessage::Released => encode_frame(kind::RELEASED, &()),
@@ -124,14 +133,26 @@
 
 fn decode_state(version: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
     if version != VERSION {
-        return Ok(HandoverMessage::State { state: None, feed_position: None });
+        return Ok(HandoverMessage::State {
+            state: None,
+            feed_position: None,
+            accepts_pending_writes: false,
+        });
     }
     let (state, rest) = postcard::take_from_bytes(body).map_err(|_| MalformedMessage)?;
-    let feed_position = match rest {
-        [] => None,
-        rest => Some(postcard::from_bytes(rest).map_err(|_| MalformedMessage)?),
-    };
-    Ok(HandoverMessage::State { state, feed_position })
+    let (feed_position, rest) = take_optional(rest)?;
+    let (accepts_pending_writes, _) = take_optional(rest)?;
+    let accepts_pending_writes = accepts_pending_writes.unwrap_or(false);
+    Ok(HandoverMessage::State { state, feed_position, accepts_pending_writes })
+}
+
+/// Takes a value from the front of the bytes; `None` if there are none left.
+fn take_optional<T: DeserializeOwned>(bytes: &[u8]) -> Result<(Option<T>, &[u8]), MalformedMessage> {
+    if bytes.is_empty() {
+        return Ok((None, bytes));
+    }
+    let (value, rest) = postcard::take_from_bytes(bytes).map_err(|_| MalformedMessage)?;
+    Ok((Some(value), rest))
 }
 
 /// Decodes a body, or returns the default value if the message has another version.
--- a/crates/protocol/tests/handover.rs
+++ b/crates/protocol/tests/handover.rs
@@ -32,8 +32,21 @@
     };
     vec![
         HandoverMessage::Hello("127.0.0.1:5050".into()),
-        HandoverMessage::State { state: Some(Box::new(state.clone())), feed_position: Some(300) },
-        HandoverMessage::State { state: Some(Box::new(state)), feed_position: None },
+        HandoverMessage::State {
+            state: Some(Box::new(state.clone())),
+            feed_position: Some(300),
+            accepts_pending_writes: false,
+        },
+        HandoverMessage::State {
+            state: Some(Box::new(state.clone())),
+            feed_position: None,
+            accepts_pending_writes: false,
+        },
+        HandoverMessage::State {
+            state: Some(Box::new(state)),
+            feed_position: Some(300),
+            accepts_pending_writes: true,
+        },
         HandoverMessage::TakeOver,
         HandoverMessage::Released,
         HandoverMessage::PendingWrites(vec![PendingWrite {
--- a/crates/router/src/handover_state.rs
+++ b/crates/router/src/handover_state.rs
@@ -35,6 +35,15 @@
     pub started: Timestamp,
 }
 
+/// The other process of a handover, as seen by this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerProcess {
+    /// The process that this one replaces.
+    Predecessor,
+    /// The process that replaces this one.
+    Successor,
+}
+
 /// A non-idempotent request that may have run, as it is handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingWrite {
--- a/crates/router/src/pending_writes.rs
+++ b/crates/router/src/pending_writes.rs
@@ -1,7 +1,7 @@
 //! The table of pending writes: requests that may have run and must not run again, remembered by their
 //! id.
 
-use crate::handover_state::PendingWrite;
+use crate::handover_state::{PeerProcess, PendingWrite};
 use hollymux_decision::{EndpointId, Timestamp};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -45,8 +45,24 @@
     /// Arrivals in order of time, including outdated ones.
     by_arrival: VecDeque<Arrival>,
     max_entries: usize,
-    /// Entries added since they were last taken for a successor; `None` if there is no successor.
-    untransferred: Option<Vec<PendingWrite>>,
+    unreported: UnreportedWrites,
+}
+
+/// The entries added since they were last taken for each other process of a handover; `None` for a
+/// process that is told of none.
+#[derive(Debug, Default)]
+struct UnreportedWrites {
+    to_predecessor: Option<Vec<PendingWrite>>,
+    to_successor: Option<Vec<PendingWrite>>,
+}
+
+impl UnreportedWrites {
+    fn of(&mut self, peer: PeerProcess) -> &mut Option<Vec<PendingWrite>> {
+        match peer {
+            PeerProcess::Predecessor => &mut self.to_predecessor,
+            PeerProcess::Successor => &mut self.to_successor,
+        }
+    }
 }
 
 impl PendingWrites {
@@ -59,7 +75,7 @@
             by_id: HashMap::new(),
             by_arrival: VecDeque::new(),
             max_entries: by_memory.min(MAX_PENDING_WRITES),
-            untransferred: None,
+            unreported: UnreportedWrites::default(),
         }
     }
 
@@ -94,12 +110,24 @@
         let write = RememberedWrite { arrived: now, endpoint };
         self.by_id.insert(request_id, write);
         self.by_arrival.push_back(Arrival { arrived: now, request_id });
-        if let Some(untransferred) = &mut self.untransferred {
-            untransferred.push(pending_write(request_id, &write));
+        for peer in [PeerProcess::Predecessor, PeerProcess::Successor] {
+            if let Some(unreported) = self.unreported.of(peer) {
+                unreported.push(pending_write(request_id, &write));
+            }
         }
         true
     }
 
+    /// Adds entries that another process of a handover has reported. They are not reported back to
+    /// it. Entries for which there is no room are dropped.
+    pub(crate) fn add_reported(&mut self, now: Timestamp, writes: &[PendingWrite], from: PeerProcess) {
+        let unreported = self.unreported.of(from).take();
+        for write in writes {
+            let _added = self.add(write.arrived.min(now), write.request_id, write.endpoint.map(EndpointId));
+        }
+        *self.unreported.of(from) = unreported;
+    }
+
     /// Removes the entry of a request that never ran, so that it may be sent again with the same
     /// id.
     pub(crate) fn remove(&mut self, request_id: u64) {
@@ -138,25 +166,28 @@
         });
     }
 
-    /// Returns all entries in order of arrival, to be handed over to a successor. Entries added
-    /// from now on are collected for [`PendingWrites::take_untransferred`].
-    pub(crate) fn begin_transfer(&mut self) -> Vec<PendingWrite> {
-        self.untransferred = Some(Vec::new());
+    /// All entries in order of arrival.
+    pub(crate) fn entries(&self) -> Vec<PendingWrite> {
         let mut entries: Vec<PendingWrite> =
             self.by_id.iter().map(|(request_id, entry)| pending_write(*request_id, entry)).collect();
         entries.sort_unstable_by_key(|entry| (entry.arrived, entry.request_id));
         entries
     }
 
-    /// Returns the entries added since the last call, or since the transfer began. Empty if no
-    /// transfer has begun.
-    pub(crate) fn take_untransferred(&mut self) -> Vec<PendingWrite> {
-        self.untransferred.as_mut().map(std::mem::take).unwrap_or_default()
+    /// Collects the entries that are added from now on for [`PendingWrites::take_unreported`].
+    pub(crate) fn begin_reporting(&mut self, to: PeerProcess) {
+        *self.unreported.of(to) = Some(Vec::new());
+    }
+
+    /// Returns the entries added since the last call, or since the reporting began. Empty if it has
+    /// not begun.
+    pub(crate) fn take_unreported(&mut self, to: PeerProcess) -> Vec<PendingWrite> {
+        self.unreported.of(to).as_mut().map(std::mem::take).unwrap_or_default()
     }
 
-    /// Ends the transfer, as there is no successor any more. Added entries are no longer collected.
-    pub(crate) fn end_transfer(&mut self) {
-        self.untransferred = None;
+    /// Ends the reporting to a process that has gone.
+    pub(crate) fn end_reporting(&mut self, to: PeerProcess) {
+        *self.unreported.of(to) = None;
     }
 }
 
--- a/crates/router/src/router/admission.rs
+++ b/crates/router/src/router/admission.rs
@@ -96,13 +96,8 @@
         id
     }
 
-    /// Whether requests of a class must not run twice.
-    pub(super) fn is_non_idempotent(&self, class: u16) -> bool {
-        self.classes.idempotency(class) == Idempotency::NotIdempotent
-    }
-
-    /// Runs the admission checks in order; the last one adds a non-idempotent request to the
-    /// pending writes. Returns the reason if a check fails.
+    /// Runs the admission checks in order; the last one adds a request that must not run twice to
+    /// the pending writes. Returns the reason if a check fails.
     fn admit(
         &mut self,
         now: Timestamp,
@@ -112,8 +107,7 @@
         self.check_request_id(request)?;
         self.check_budget(request, requested.class)?;
         self.check_not_sent_before(requested)?;
-        let write_id = requested.request_id.filter(|_| self.is_non_idempotent(requested.class));
-        self.reserve_room(now, write_id)
+        self.reserve_room(now, requested)
     }
 
     /// Returns an error if an open request has the same id. Endpoints identify a request by its id,
@@ -149,13 +143,17 @@
         Ok(())
     }
 
-    /// Adds a non-idempotent request to the pending writes. Returns an error if too many requests
-    /// are open or the table of pending writes is full.
-    fn reserve_room(&mut self, now: Timestamp, write_id: Option<u64>) -> Result<(), ResultReason> {
+    /// Adds a request that must not run twice to the pending writes. Returns an error if too many
+    /// requests are open, or if the table of pending writes is full and the request is non-idempotent:
+    /// one with an idempotency key is recognized by endpoints as well.
+    fn reserve_room(&mut self, now: Timestamp, requested: &RequestedObject) -> Result<(), ResultReason> {
         if self.open_requests.len() >= MAX_OPEN_REQUESTS {
             return Err(ResultReason::TableFull);
         }
-        if write_id.is_some_and(|id| !self.pending_writes.add(now, id, None)) {
+        let Some(id) = requested.request_id else { return Ok(()) };
+        let idempotency = self.classes.idempotency(requested.class);
+        let has_room = idempotency == Idempotency::Idempotent || self.pending_writes.add(now, id, None);
+        if !has_room && idempotency == Idempotency::NotIdempotent {
             return Err(ResultReason::TableFull);
         }
         Ok(())
--- a/crates/router/src/router/handover.rs
+++ b/crates/router/src/router/handover.rs
@@ -2,47 +2,49 @@
 //! predecessor.
 
 use super::Router;
-use crate::handover_state::{HandoverState, PendingWrite};
-use hollymux_decision::{ClassSnapshot, EndpointId, Timestamp};
+use crate::handover_state::{HandoverState, PeerProcess, PendingWrite};
+use hollymux_decision::{ClassSnapshot, Timestamp};
 
 impl Router {
     /// Returns the state for a successor. The caller adds the names of zones and kinds. From now on
-    /// new pending writes are collected for [`Router::take_new_pending_writes`].
+    /// new pending writes are collected for the successor.
     pub fn handover_state(&mut self) -> HandoverState {
+        self.report_pending_writes(PeerProcess::Successor);
         HandoverState {
             classes: self.classes.names().map(str::to_string).collect(),
             endpoints: self.endpoints.records(),
-            pending_writes: self.pending_writes.begin_transfer(),
+            pending_writes: self.pending_writes.entries(),
             decision: self.decision.snapshot(),
             ..HandoverState::default()
         }
     }
 
-    /// Returns the pending writes that were added since the last call, or since
-    /// [`Router::handover_state`]. Empty if no state was handed over.
-    pub fn take_new_pending_writes(&mut self) -> Vec<PendingWrite> {
-        self.pending_writes.take_untransferred()
+    /// Collects new pending writes from now on for another process of a handover.
+    pub fn report_pending_writes(&mut self, to: PeerProcess) {
+        self.pending_writes.begin_reporting(to);
     }
 
-    /// Stops collecting new pending writes, as there is no successor any more.
-    pub fn stop_tracking_pending_writes(&mut self) {
-        self.pending_writes.end_transfer();
+    /// Returns the pending writes that were added since the last call for this process, or since they
+    /// have been collected for it; empty if they are not.
+    pub fn take_new_pending_writes(&mut self, to: PeerProcess) -> Vec<PendingWrite> {
+        self.pending_writes.take_unreported(to)
     }
 
-    /// Adds the pending writes of a predecessor. They may have run, so requests with their ids are
-    /// not accepted here.
-    pub fn restore_pending_writes(&mut self, now: Timestamp, pending_writes: &[PendingWrite]) {
-        for write in pending_writes {
-            let arrived = write.arrived.min(now);
-            // A write for which the table has no room is dropped.
-            let _added = self.pending_writes.add(arrived, write.request_id, write.endpoint.map(EndpointId));
-        }
+    /// Stops collecting new pending writes for a process that has gone.
+    pub fn stop_reporting_pending_writes(&mut self, to: PeerProcess) {
+        self.pending_writes.end_reporting(to);
+    }
+
+    /// Adds the pending writes that another process has reported. They may have run, so requests with
+    /// their ids are not accepted here.
+    pub fn restore_pending_writes(&mut self, now: Timestamp, writes: &[PendingWrite], from: PeerProcess) {
+        self.pending_writes.add_reported(now, writes, from);
     }
 
     /// Restores the state of a predecessor. The caller must have applied the predecessor's endpoint
     /// list before.
     pub fn restore(&mut self, now: Timestamp, state: &HandoverState) {
-        self.restore_pending_writes(now, &state.pending_writes);
+        self.restore_pending_writes(now, &state.pending_writes, PeerProcess::Predecessor);
         let mut snapshot = state.decision.clone();
         snapshot.classes = self.classes.names().map(|name| class_snapshot(state, name)).collect();
         self.decision.restore(now, &snapshot);
--- a/crates/router/src/router/replies.rs
+++ b/crates/router/src/router/replies.rs
@@ -71,7 +71,7 @@
             return;
         };
         self.by_client.remove(&client);
-        self.release_client_id(now, request, &open, result);
+        self.release_client_id(request, &open, result);
         self.count_reply(open.requested.class, &reply);
         commands.push(Command::Reply(client, reply));
         self.release_timers(request, commands);
@@ -79,27 +79,17 @@
 
     /// Releases the id of a request that is being closed with this result. One that may have run and
     /// must not run again stays known, also when its client has left.
-    fn release_client_id(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        open: &OpenRequest,
-        result: RequestResult,
-    ) {
+    fn release_client_id(&mut self, request: RequestId, open: &OpenRequest, result: RequestResult) {
         let Some(client_id) = open.requested.request_id else { return };
         self.open_client_ids.remove(&client_id);
-        match self.classes.idempotency(open.requested.class) {
-            // A rejected non-idempotent request never ran, so the client may send it again with the
-            // same id.
-            Idempotency::NotIdempotent if result == RequestResult::Rejected => {
-                self.pending_writes.remove(client_id);
-            }
-            Idempotency::WithKey => {
-                let may_have_run = open.may_have_run_since.is_some() || self.has_attempt_in_flight(request);
-                // A full table does not keep requests with an idempotency key from being served.
-                let _added = may_have_run && self.pending_writes.add(now, client_id, None);
-            }
-            Idempotency::NotIdempotent | Idempotency::Idempotent => {}
+        let never_ran = match self.classes.idempotency(open.requested.class) {
+            Idempotency::Idempotent => return,
+            Idempotency::WithKey => open.may_have_run_since.is_none() && !self.has_attempt_in_flight(request),
+            Idempotency::NotIdempotent => result == RequestResult::Rejected,
+        };
+        // The client may send a request that never ran again with the same id.
+        if never_ran {
+            self.pending_writes.remove(client_id);
         }
     }
 
@@ -130,7 +120,7 @@
     ) {
         let Some(request) = self.by_client.remove(&client) else { return };
         let Some(open) = self.open_requests.remove(&request) else { return };
-        self.release_client_id(now, request, &open, RequestResult::Cancelled);
+        self.release_client_id(request, &open, RequestResult::Cancelled);
         commands.push(open.summary(request, now, RequestResult::Cancelled, open.failure_reason(), 0));
         self.decide(now, open.mode, Event::Withdrawn { request }, commands);
         self.release_timers(request, commands);
--- a/crates/router/tests/characterization/adapter.rs
+++ b/crates/router/tests/characterization/adapter.rs
@@ -200,13 +200,13 @@
             let input = Input::Request(client_handle(client), self.client_request(request));
             self.router.handle(now, input, &mut commands);
         }
-        let later = self.router.take_new_pending_writes();
+        let later = self.router.take_new_pending_writes(handover_state::PeerProcess::Successor);
         self.router.handle(now, Input::Shutdown, &mut commands);
         let mut successor = router(parse(&self.settings), &self.classes, self.seed ^ 1, self.follows);
         let full_list = state.full_list_event(&state.zones, &state.kinds);
         successor.handle(now, Input::Feed(full_list), &mut commands);
         successor.restore(now, &state);
-        successor.restore_pending_writes(now, &later);
+        successor.restore_pending_writes(now, &later, handover_state::PeerProcess::Predecessor);
         self.router = successor;
         let mut effects = vec![Effect::new("handed over", state_text(&state, &later))];
         effects.extend(commands.into_iter().filter_map(|command| self.effect(command)));
--- a/crates/server/src/handover/call_predecessor.rs
+++ b/crates/server/src/handover/call_predecessor.rs
@@ -65,6 +65,8 @@
     /// The number of the last event of the endpoint feed that the state includes, if the
     /// predecessor sends it.
     pub(super) feed_position: Option<u64>,
+    /// Whether the predecessor wants to be told of the pending writes of this process.
+    pub(super) accepts_pending_writes: bool,
     /// The connection to the predecessor, non-blocking.
     pub(super) socket: UnixStream,
     /// The reader for that connection, with the bytes received after the state.
@@ -135,10 +137,17 @@
         };
         reader.feed(&buffer[..length]);
         match reader.next_message()? {
-            Some(HandoverMessage::State { state, feed_position }) => {
+            Some(HandoverMessage::State { state, feed_position, accepts_pending_writes }) => {
                 let listener = check_listener(listener, listen)?;
                 socket.set_nonblocking(true).map_err(io_error("set up the connection to"))?;
-                return Ok(InheritedSockets { listener, state, feed_position, socket, reader });
+                return Ok(InheritedSockets {
+                    listener,
+                    state,
+                    feed_position,
+                    accepts_pending_writes,
+                    socket,
+                    reader,
+                });
             }
             Some(HandoverMessage::Declined) => return Err(HandoverError::Declined),
             Some(_) => return Err(HandoverError::OutOfOrder),
--- a/crates/server/src/handover/peer.rs
+++ b/crates/server/src/handover/peer.rs
@@ -5,6 +5,7 @@
 use crate::Server;
 use hollymux_decision::Timestamp;
 use hollymux_protocol::handover::{HandoverMessage, HandoverReader};
+use hollymux_router::handover_state::PeerProcess;
 use rustix::event::epoll::EventFlags;
 use rustix::fd::AsFd;
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
@@ -149,4 +150,35 @@
         let slices = [IoSlice::new(&peer.output)];
         Ok(sendmsg(&peer.stream.socket, &slices, &mut control, SendFlags::NOSIGNAL)?)
     }
+
+    /// Sends the other processes of a handover the requests that must not run twice and that this
+    /// process has accepted since the last message about them, so that none of their clients can run
+    /// them again there. Does nothing before `TakeOver`.
+    pub(crate) fn send_new_pending_writes(&mut self) {
+        if let Some(token) = self.handover.successor {
+            self.send_pending_writes(token, PeerProcess::Successor);
+        }
+        if let Some(token) = self.handover.predecessor {
+            self.send_pending_writes(token, PeerProcess::Predecessor);
+        }
+    }
+
+    fn send_pending_writes(&mut self, token: ConnectionToken, to: PeerProcess) {
+        match self.connections.get(token) {
+            Some(ConnectionKind::Successor(peer) | ConnectionKind::Predecessor(peer))
+                if peer.progress == HandoverProgress::TakeOverSent => {}
+            _ => return,
+        }
+        let pending_writes = self.router.take_new_pending_writes(to);
+        if pending_writes.is_empty() {
+            return;
+        }
+        let Some(mut connection) = self.connections.take(token) else { return };
+        let mut action = ConnectionAction::Keep;
+        if let ConnectionKind::Successor(peer) | ConnectionKind::Predecessor(peer) = &mut connection {
+            peer.send(&HandoverMessage::PendingWrites(pending_writes));
+            action = self.flush_peer(token, peer);
+        }
+        self.restore(token, connection, action);
+    }
 }
--- a/crates/server/src/handover/serve_successor.rs
+++ b/crates/server/src/handover/serve_successor.rs
@@ -7,6 +7,7 @@
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
 use hollymux_protocol::handover::{HandoverMessage, HandoverReader};
+use hollymux_router::handover_state::PeerProcess;
 use hollymux_router::lifecycle::Event;
 use rustix::event::epoll::EventFlags;
 use std::io::{self, Write};
@@ -87,6 +88,10 @@
                 self.hand_over(peer);
                 Ok(())
             }
+            (HandoverMessage::PendingWrites(pending_writes), HandoverProgress::TakeOverSent) => {
+                self.router.restore_pending_writes(self.now, &pending_writes, PeerProcess::Successor);
+                Ok(())
+            }
             _ => Err(OutOfOrder),
         }
     }
@@ -102,6 +107,7 @@
         peer.send(&HandoverMessage::State {
             state: Some(Box::new(state)),
             feed_position: Some(self.feed.last_event()),
+            accepts_pending_writes: true,
         });
         info!("handing over to a successor process");
     }
@@ -111,7 +117,7 @@
     fn hand_over(&mut self, peer: &mut HandoverPeer) {
         peer.progress = HandoverProgress::TakeOverSent;
         self.apply_lifecycle_event(Event::Replaced);
-        let pending_writes = self.router.take_new_pending_writes();
+        let pending_writes = self.router.take_new_pending_writes(PeerProcess::Successor);
         peer.send(&HandoverMessage::PendingWrites(pending_writes));
         if let Some(ClusterIncarnation { generation, incarnation }) = self.release_cluster_socket() {
             peer.send(&HandoverMessage::ClusterIncarnation { start: generation, incarnation });
@@ -119,30 +125,11 @@
         peer.send(&HandoverMessage::Released);
     }
 
-    /// Sends the successor the non-idempotent requests that this process has accepted since the
-    /// last message about them. Does nothing before `TakeOver`.
-    pub(crate) fn send_new_pending_writes(&mut self) {
-        let Some(token) = self.handover.successor else { return };
-        match self.connections.get(token) {
-            Some(ConnectionKind::Successor(peer)) if peer.progress == HandoverProgress::TakeOverSent => {}
-            _ => return,
-        }
-        let pending_writes = self.router.take_new_pending_writes();
-        if pending_writes.is_empty() {
-            return;
-        }
-        if let Some(ConnectionKind::Successor(mut peer)) = self.connections.take(token) {
-            peer.send(&HandoverMessage::PendingWrites(pending_writes));
-            let action = self.flush_peer(token, &mut peer);
-            self.restore(token, ConnectionKind::Successor(peer), action);
-        }
-    }
-
     /// Called when the connection to the successor is closed: this process accepts clients again,
     /// unless it is stopping.
     pub(crate) fn successor_closed(&mut self) {
         self.handover.successor = None;
-        self.router.stop_tracking_pending_writes();
+        self.router.stop_reporting_pending_writes(PeerProcess::Successor);
         self.update_shared_limits();
         self.apply_lifecycle_event(Event::SuccessorGone);
         // The successor has replaced the socket file with its own, so a new one must be bound.
--- a/crates/server/src/handover/take_over.rs
+++ b/crates/server/src/handover/take_over.rs
@@ -7,7 +7,7 @@
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken, Timer};
 use crate::Server;
 use hollymux_protocol::handover::HandoverMessage;
-use hollymux_router::handover_state::HandoverState;
+use hollymux_router::handover_state::{HandoverState, PeerProcess};
 use hollymux_router::lifecycle::{Event, Phase};
 use rustix::event::epoll::EventFlags;
 use std::io;
@@ -28,7 +28,11 @@
     /// the predecessor's stood, so that no older event undoes what was handed over. Returns the
     /// client listener.
     pub(crate) fn inherit(&mut self, inherited: InheritedSockets) -> io::Result<TcpListener> {
-        let InheritedSockets { listener, state, feed_position, socket, reader } = inherited;
+        let InheritedSockets { listener, state, feed_position, accepts_pending_writes, socket, reader } =
+            inherited;
+        if accepts_pending_writes {
+            self.router.report_pending_writes(PeerProcess::Predecessor);
+        }
         match &state {
             Some(state) => {
                 self.inherit_endpoint_list(state, feed_position);
@@ -79,7 +83,7 @@
     ) -> Result<(), OutOfOrder> {
         match message {
             HandoverMessage::PendingWrites(pending_writes) => {
-                self.router.restore_pending_writes(self.now, &pending_writes)
+                self.router.restore_pending_writes(self.now, &pending_writes, PeerProcess::Predecessor);
             }
             HandoverMessage::ClusterIncarnation { start: generation, incarnation } => {
                 self.take_over_cluster_socket(&ClusterIncarnation { generation, incarnation });
@@ -93,6 +97,7 @@
     /// Called when the connection to the predecessor is closed: this process serves alone.
     pub(crate) fn predecessor_closed(&mut self) {
         self.handover.predecessor = None;
+        self.router.stop_reporting_pending_writes(PeerProcess::Predecessor);
         self.update_shared_limits();
         info!("predecessor process has ended");
         self.begin_serving();
