Retry no key of a cell or zone where another process may have come up since

Cause: retry_allowed looked at the scope of the endpoint that may have run the request, and an endpoint is always in its own scope; what ended the attempt there was not considered.

Ruled out: non-idempotent requests (never sent again), addresses that the feed reassigns (their connections are closed, a_reassigned_address_gets_new_connections).

Change: within a zone or cell, no retry at an endpoint to which a connection broke or was refused, or which started, since the request was sent there.

--- a/crates/decision/src/interface/outcomes.rs
+++ b/crates/decision/src/interface/outcomes.rs
@@ -36,6 +36,12 @@
         use AttemptStatus::{ConnectFailed, Full, Miss, Moot, Unreached};
         matches!(self, Miss | Full | ConnectFailed | Unreached | Moot)
     }
+
+    /// Whether the endpoint's process may have ended: a connection to it broke or was refused. One
+    /// that is established late or never shows nothing of the process.
+    pub(crate) fn process_may_have_ended(self) -> bool {
+        matches!(self, AttemptStatus::Reset | AttemptStatus::ConnectFailed)
+    }
 }
 
 /// What an endpoint reports of the copy or fill behind an outcome.
--- a/crates/decision/src/policy/endpoint_choice.rs
+++ b/crates/decision/src/policy/endpoint_choice.rs
@@ -21,7 +21,9 @@
     /// Always true for idempotent requests and as long as no earlier attempt may have run. After
     /// that, a request with an idempotency key may be retried only at an endpoint that shares its
     /// deduplication scope with the endpoint of the first attempt that may have run, and only
-    /// within the idempotency window of that attempt. Other requests may not be retried.
+    /// within the idempotency window of that attempt. In a narrower scope than all endpoints, it may
+    /// not be retried where another process may have come up at the endpoint's address since, which
+    /// need not belong to the scope. Other requests may not be retried.
     fn retry_allowed(&self, now: Timestamp, open: &OpenRequest, endpoint: &Endpoint) -> bool {
         let class = self.settings.class(&open.request);
         if class.idempotency == Idempotency::Idempotent {
@@ -37,7 +39,9 @@
         let margin = divide_to_micros(class.window, WINDOW_MARGIN_DIVISOR);
         let window_end = first_run.sent_at + class.window;
         let is_in_window = now + margin < window_end;
-        class.idempotency == Idempotency::WithKey && drops_repeats && is_in_window
+        let is_same_process =
+            class.scope == DeduplicationScope::All || !open.may_have_new_process(&endpoint.entry);
+        class.idempotency == Idempotency::WithKey && drops_repeats && is_same_process && is_in_window
     }
 
     /// Chooses the endpoint and fill source of the request's next attempt. The first of these that
--- a/crates/decision/src/state/open_request.rs
+++ b/crates/decision/src/state/open_request.rs
@@ -1,7 +1,7 @@
 //! Open requests and their attempts. A request stays open until it is finished and all of its
 //! attempts have ended.
 
-use crate::interface::{Action, AttemptOutcome, EndpointId, Request, RequestId};
+use crate::interface::{Action, AttemptOutcome, EndpointEntry, EndpointId, Request, RequestId};
 use crate::module::DecisionModule;
 use crate::state::endpoint::{FILL_LOAD_WINDOW, LOAD_WINDOW};
 use crate::state::timer_token::TimerToken;
@@ -43,6 +43,9 @@
     pub(crate) is_recovery_probe: bool,
     /// Whether the attempt returned an error.
     pub(crate) failed: bool,
+    /// Whether the attempt ended because its connection broke or was refused, so that the endpoint's
+    /// process may have ended.
+    pub(crate) process_may_have_ended: bool,
     /// Whether the fill source was to serve only what it holds, without a fetch of its own.
     pub(crate) only_if_cached: bool,
 }
@@ -123,6 +126,13 @@
         self.attempts.iter().any(|attempt| attempt.failed && attempt.fill_source == Some(source))
     }
 
+    /// Whether the process that runs at an endpoint may be another one than at the request's attempts
+    /// there: a connection to it broke or was refused, or it was started since.
+    pub(crate) fn may_have_new_process(&self, endpoint: &EndpointEntry) -> bool {
+        let mut attempts = self.attempts.iter().filter(|attempt| attempt.endpoint == endpoint.id);
+        attempts.any(|attempt| attempt.process_may_have_ended || endpoint.started > attempt.sent_at)
+    }
+
     /// The attempts that returned an error.
     pub(crate) fn failed_attempts(&self) -> Vec<Attempt> {
         self.attempts.iter().filter(|attempt| attempt.failed).cloned().collect()
@@ -211,6 +221,7 @@
         let open = self.requests.get_mut(&outcome.request)?;
         let attempt = open.attempts.get_mut(usize::from(outcome.attempt)).filter(|a| a.in_flight)?;
         attempt.in_flight = false;
+        attempt.process_may_have_ended = outcome.status.process_may_have_ended();
         let attempt = attempt.clone();
         if !outcome.status.never_ran() {
             open.record_possible_run(&attempt);
