--- a/crates/hollymux/tests/hostile_clients.rs
+++ b/crates/hollymux/tests/hostile_clients.rs
@@ -142,6 +142,65 @@
     assert_eq!(writer.read_response(), "1 good ver=d1 filed");
 }
 
+/// Guards against memory that grows with the number of clients that write slowly, stop within a large
+/// request, or send heads of very many short fields.
+#[test]
+fn hundreds_of_clients_with_incomplete_requests_stay_within_the_memory_limit() {
+    let feed = StubFeed::start();
+    let endpoints = [0, 1, 2].map(|_| StubEndpoint::start(StubBehavior::Data(vec![b'x'; 100_000])));
+    feed.publish_endpoints(true, &endpoint_lines(&endpoints));
+    let router = start_with_memory(&feed, SMALLEST_MEMORY_MB);
+    let mut usual = Client::connect(router.addr);
+    wait_until("the router to know the endpoint list", || {
+        Some(Client::connect(router.addr).get(1, "docs", 1, 5)).filter(|reply| reply.contains("good"))
+    });
+    let mut clients: Vec<Client> = (0..460).map(|_| Client::connect(router.addr)).collect();
+    let short_fields = "a=1,".repeat(255);
+    let long_word = "w".repeat(1_000);
+    for round in 1..=6_u32 {
+        for (client, number) in clients.iter_mut().zip(0_u32..) {
+            match number % 4 {
+                // A large request of which a sixth is written in each round.
+                0 => {
+                    let bytes = filing(1, 10_000 + u64::from(number));
+                    let part = bytes.len() / 6;
+                    client.try_send(&bytes[part * (round as usize - 1)..part * round as usize]);
+                }
+                // A large request that stops half way, at the first round.
+                1 if round == 1 => client.try_send(&filing(1, 20_000)[..30_000]),
+                // Complete requests with very many short fields, and an incomplete one.
+                2 => {
+                    let tags = round * 40..round * 40 + 30;
+                    let request = |tag: u32| {
+                        let tag = tag.to_string();
+                        resp_array(&[
+                            b"DO",
+                            tag.as_bytes(),
+                            long_word.as_bytes(),
+                            short_fields.as_bytes(),
+                            b"",
+                        ])
+                    };
+                    client.try_send(&tags.flat_map(request).collect::<Vec<u8>>());
+                }
+                3 if round == 1 => client.try_send(&request_head(&long_word, &short_fields)),
+                _ => {}
+            }
+        }
+        let tag = round;
+        assert!(usual.get(tag, "docs", 100 + u64::from(tag), 5).contains("good"), "a usual client");
+    }
+    let used = router.anonymous_memory_bytes();
+    println!("{used} bytes of anonymous memory");
+    assert!(used < 24 << 20, "{used} bytes of anonymous memory");
+}
+
+/// The beginning of a request with four words of the largest size, up to its body.
+fn request_head(long_word: &str, fields: &str) -> Vec<u8> {
+    let complete = resp_array(&[b"DO", b"1", long_word.as_bytes(), fields.as_bytes(), b"body"]);
+    complete[..complete.len() - b"y\r\n".len()].to_vec()
+}
+
 /// Guards against timers that outlive the requests they were set for: clients that repeat what was
 /// rejected took the router over its memory limit.
 #[test]
