Write on to a slow reader when the kernel has room, before it is closed as not reading

Cause: the write timeout counts from the last byte that the kernel took, and output is written on only when epoll reports room, that is when a third of the kernel's buffer (4 MB) is free.

Change: housekeeping writes to a blocked client connection before it looks at the timeout, which succeeds as soon as there is any room.

Measured: the new test fails without the change ("closed although its client reads").

--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -230,6 +230,14 @@
         connection: &mut ClientConnection,
     ) -> ConnectionAction {
         self.release_if_idle(token, connection);
+        // The kernel reports room only when a third of its buffer is free, which takes a slow reader
+        // longer than the timeout; it takes bytes before that.
+        if connection.stream.waiting_to_write {
+            let action = self.flush(token, &mut connection.stream, &mut connection.output);
+            if action == ConnectionAction::Close {
+                return ConnectionAction::Close;
+            }
+        }
         let write_timeout = if self.buffers.is_fuller_than(BUFFER_PRESSURE_THRESHOLD) {
             WRITE_TIMEOUT / PRESSURE_TIMEOUT_DIVISOR
         } else {
--- a/crates/server/src/clients/tests.rs
+++ b/crates/server/src/clients/tests.rs
@@ -4,10 +4,13 @@
 use super::ClientConnection;
 use crate::config::operator_file::Operator;
 use crate::config::Config;
-use crate::event_loop::{ConnectionKind, ConnectionToken};
+use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
+use crate::housekeeping::WRITE_TIMEOUT;
 use crate::Server;
+use std::io::Read;
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::time::Duration;
 
 const FILE: &str = include_str!("../../../../examples/config.json");
 
@@ -23,6 +26,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (socket, _) = listener.accept().unwrap();
+    socket.set_nonblocking(true).unwrap();
     let mut connection = ClientConnection::new(socket, &server.buffers, server.now);
     connection.output.extend_control(&vec![b'x'; unread]);
     server.client_count += 1;
@@ -43,6 +47,36 @@
     assert!(server.buffers.control_bytes() <= max);
 }
 
+/// Guards against taking a client that reads slowly for one that doesn't read: the kernel reports room
+/// for output long after it has some.
+#[test]
+fn a_client_that_reads_a_little_is_not_closed_for_its_unread_replies() {
+    let mut server = server();
+    let (token, mut peer) = add_client(&mut server, 1);
+    let mut connection = server.connections.take_client(token).unwrap();
+    let reply = vec![b'x'; 64 << 10];
+    while !connection.stream.waiting_to_write {
+        connection.output.extend_control(&reply);
+        assert!(
+            server.flush(token, &mut connection.stream, &mut connection.output) == ConnectionAction::Keep
+        );
+    }
+    connection.output.extend_control(&reply.repeat(100));
+    let unread = |connection: &ClientConnection| connection.output.len();
+    for _ in 0..3 {
+        // Less than a third of what the kernel holds.
+        let before = unread(&connection);
+        peer.read_exact(&mut vec![0; 400_000]).unwrap();
+        server.now += WRITE_TIMEOUT + Duration::from_secs(1);
+        let action = server.client_housekeeping(token, &mut connection);
+        assert!(action == ConnectionAction::Keep, "closed although its client reads");
+        assert!(unread(&connection) < before);
+    }
+    // Now it reads nothing any more.
+    server.now += WRITE_TIMEOUT + Duration::from_secs(1);
+    assert!(server.client_housekeeping(token, &mut connection) == ConnectionAction::Close);
+}
+
 /// Guards against closing clients because of messages that endpoints don't read.
 #[test]
 fn messages_that_endpoints_do_not_read_close_no_client() {
