Handle everything that has arrived after a stall before timers and requests

Cause: SIGCONT interrupts epoll_wait, which wait_for_events took for no event, so timers ran before the feed was read; retries and the requests that their check of the client read went by the old state. After 2.2 s and more, housekeeping closed the feed's connection with the drain unread.

Ruled out: the sorting of events (the feed does come first, if it is reported).

--- a/crates/hollymux/tests/races.rs
+++ b/crates/hollymux/tests/races.rs
@@ -145,6 +145,49 @@
     assert_clean_shutdown(router);
 }
 
+/// Pauses the router with attempts in flight for longer than their timers, publishes that an edge cache
+/// is in `state` meanwhile, and checks that nothing is sent there afterwards: neither retries nor the
+/// requests that arrived during the pause.
+fn check_state_published_during_a_pause(state: &str, pause: Duration) {
+    let (feed, router, mut client, manual) = setup();
+    for tag in 1..9 {
+        client.send_request(tag, "docs", 70 + u64::from(tag), &object(u64::from(tag)));
+    }
+    let in_flight: Vec<HeldAttempt> = (1..9).map(|_| manual.next()).collect();
+    let other = 1 - in_flight[0].endpoint;
+    // Connections to the other one are free for retries.
+    for attempt in in_flight.iter().filter(|attempt| attempt.endpoint == other) {
+        attempt.respond("data", b"some bytes");
+        assert!(client.read_response().contains("good"));
+    }
+    router.pause();
+    for tag in 9..20 {
+        client.send_request(tag, "docs", 70 + u64::from(tag), &object(u64::from(tag)));
+    }
+    let uid = ["s-a", "s-b"][other];
+    feed.publish_endpoints(false, &[endpoint_line(uid, manual.addrs[other], "std", state)]);
+    std::thread::sleep(pause);
+    router.resume();
+    let attempts = manual.remaining();
+    let to_other = attempts.iter().filter(|attempt| attempt.endpoint == other).count();
+    assert!(!attempts.is_empty(), "nothing was sent after the pause");
+    assert_eq!(to_other, 0, "attempts at an edge cache that was {state} {pause:?} before");
+}
+
+/// Guards against timers that are handled before what the feed has told: the end of the pause
+/// interrupts the wait for events, which then reports none.
+#[test]
+fn nothing_is_sent_by_the_state_before_a_pause() {
+    check_state_published_during_a_pause("draining", Duration::from_millis(1_200));
+    check_state_published_during_a_pause("gone", Duration::from_millis(1_200));
+}
+
+/// Guards against closing the feed's connection as silent while what it has told is unread.
+#[test]
+fn nothing_is_sent_by_the_state_before_a_pause_longer_than_the_silence_limit() {
+    check_state_published_during_a_pause("draining", Duration::from_millis(3_500));
+}
+
 /// Guards against sending attempts for a client that has left, because much of its data is read
 /// before the end of its connection.
 #[test]
--- a/crates/server/src/feed.rs
+++ b/crates/server/src/feed.rs
@@ -1,7 +1,7 @@
 //! The connection to the endpoint feed: a watch that is resumed after the last applied event
 //! whenever its connection ends.
 
-use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken, Timer, MAX_READS_PER_EVENT};
+use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken, Timer};
 use crate::sockets::{dial, Stream};
 use crate::Server;
 use hollymux_decision::time::whole_micros;
@@ -26,6 +26,10 @@
 /// Upper bound of the delay before the feed is connected again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum number of reads of the feed for one event: all that the kernel's buffers hold of it, so that
+/// everything that the feed has told is known before requests are sent.
+const MAX_FEED_READS: usize = 2_048;
+
 /// The state of the endpoint feed across its connections.
 pub(crate) struct EndpointFeed {
     /// The number of the last applied event; the next connection asks for the events after it.
@@ -130,7 +134,7 @@
                 }
             }
         }
-        self.read_from(feed, MAX_READS_PER_EVENT, |feed| &mut feed.stream, Server::on_feed_bytes)
+        self.read_from(feed, MAX_FEED_READS, |feed| &mut feed.stream, Server::on_feed_bytes)
     }
 
     fn on_feed_bytes(&mut self, feed: &mut FeedConnection, bytes: &[u8]) -> ConnectionAction {
