Wait for the answer to a call to the endpoint feed, beside a second call

Cause: the silence limit of an open watch (2.2 to 2.8 s) also ended calls without an answer, each time anew; and a head that came at once made a late body look like an open watch.

Change: a call waits 6.8 s for the first byte of the body. After the silence limit a second call is made beside it, as the first may be lost; the first that is answered becomes the watch. Related: the request to the feed is control data now and needs no buffer of the pool.

--- a/crates/hollymux/tests/common/stubs/feed.rs
+++ b/crates/hollymux/tests/common/stubs/feed.rs
@@ -23,6 +23,10 @@
     silent: bool,
     /// The pause after each event.
     pace: Duration,
+    /// The pause between a request and the head of its response.
+    head_delay: Duration,
+    /// The pause between the head and the body.
+    body_delay: Duration,
     /// Number of times that all connections were closed.
     closings: u32,
     /// The number of the connection, from 1, that stays open and sends nothing.
@@ -90,6 +94,12 @@
         self.state.lock().unwrap().silent = silent;
     }
 
+    /// Makes the feed pause before the head of each response, and again before its body.
+    pub fn set_answer_delays(&self, head: Duration, body: Duration) {
+        let mut state = self.state.lock().unwrap();
+        (state.head_delay, state.body_delay) = (head, body);
+    }
+
     /// Makes all watches pause after each event from now on.
     pub fn set_pace(&self, pace: Duration) {
         self.state.lock().unwrap().pace = pace;
@@ -126,12 +136,12 @@
     /// Reads the request and sends the start of the response; `None` if the connection fails.
     fn accept(socket: TcpStream, state: &Mutex<FeedState>) -> Option<Watch> {
         let resume_after = read_request(&socket)?;
-        let mut watch = {
+        let (mut watch, head_delay, body_delay) = {
             let mut state = state.lock().unwrap();
             state.resumed_after.push(resume_after);
             state.connected_at.push(Instant::now());
             let number = state.resumed_after.len();
-            Watch {
+            let watch = Watch {
                 socket,
                 number,
                 sent_events: resume_after as usize,
@@ -139,10 +149,13 @@
                 is_silent: state.silent_connection == Some(number),
                 breaks_off: state.broken_connection == Some(number),
                 last_heartbeat: Instant::now(),
-            }
+            };
+            (watch, state.head_delay, state.body_delay)
         };
+        thread::sleep(head_delay);
         let encoding = if watch.is_chunked() { "Transfer-Encoding: chunked\r\n" } else { "" };
         watch.write(&format!("HTTP/1.1 200 OK\r\n{encoding}\r\n"))?;
+        thread::sleep(body_delay);
         watch.write(&watch.chunk(": hello\n\n"))?;
         watch.last_heartbeat = Instant::now();
         Some(watch)
--- a/crates/protocol/src/endpoint_feed.rs
+++ b/crates/protocol/src/endpoint_feed.rs
@@ -59,6 +59,8 @@
     line: Vec<u8>,
     /// Data received so far of an incomplete event.
     data: Vec<u8>,
+    /// Whether a byte of the body has been received.
+    body_begun: bool,
 }
 
 /// Encodes the request that opens a watch. The feed sends the events whose number is greater than
@@ -83,11 +85,18 @@
             framing_line: Vec::new(),
             line: Vec::new(),
             data: Vec::new(),
+            body_begun: false,
         }
     }
 }
 
 impl EndpointFeedReader {
+    /// Whether the server has begun the body: it sends an event or a heartbeat at once when it
+    /// answers, but may send the head of its response long before.
+    pub fn has_begun_body(&self) -> bool {
+        self.body_begun
+    }
+
     /// Decodes received bytes and appends the data of each completed event to `events`. Events that
     /// are complete before an error are appended too.
     ///
@@ -99,10 +108,12 @@
         while let Some((&byte, after_byte)) = input.split_first() {
             match self.step {
                 Step::UnchunkedBody => {
+                    self.body_begun = true;
                     self.read_events(input, events)?;
                     input = &[];
                 }
                 Step::ChunkData { remaining } => {
+                    self.body_begun = true;
                     let (data, rest) = input.split_at(remaining.min(input.len()));
                     self.read_events(data, events)?;
                     self.step = step_after_data(remaining - data.len());
--- a/crates/server/src/event_loop/io.rs
+++ b/crates/server/src/event_loop/io.rs
@@ -97,7 +97,7 @@
                 self.withdraw_all(token);
             }
             ConnectionKind::Endpoint(endpoint) => self.endpoint_connection_closed(token, endpoint),
-            ConnectionKind::Feed(_) => self.feed_closed(),
+            ConnectionKind::Feed(_) => self.feed_closed(token),
             ConnectionKind::DnsTcp(_) => self.client_count -= 1,
             ConnectionKind::AdminListener(_) => self.admin_listener = None,
             ConnectionKind::Successor(_) => self.successor_closed(),
--- a/crates/server/src/event_loop/mod.rs
+++ b/crates/server/src/event_loop/mod.rs
@@ -128,7 +128,7 @@
             ConnectionKind::Signal { pipe, signal } => self.on_signal(pipe, *signal),
             ConnectionKind::Client(client) => self.on_client(token, client, flags),
             ConnectionKind::Endpoint(endpoint) => self.on_endpoint_connection(token, endpoint, flags),
-            ConnectionKind::Feed(feed) => self.on_feed(feed, flags),
+            ConnectionKind::Feed(feed) => self.on_feed(token, feed, flags),
             ConnectionKind::DnsUdp(socket) => self.on_dns_udp(socket),
             ConnectionKind::DnsListener(listener) => self.on_dns_accept(token, listener),
             ConnectionKind::DnsTcp(dns) => self.on_dns_connection(token, dns, flags),
