Share descriptors and buffers over a handover by what the old process uses

Cause: each process had half of the descriptors until the old one ended, whatever it had left; its idle connections to endpoints stayed; and it accepted clients at the listener that it had handed over.

Change: the old process gives up what it no longer uses, then tells the new one, which may use the rest: at the take-over, and whenever a client leaves. It closes unused connections to endpoints and accepts nobody. The new process says in its first message that it reads this; with an earlier program the limits are halved as before.

--- a/crates/hollymux/tests/common/process.rs
+++ b/crates/hollymux/tests/common/process.rs
@@ -181,6 +181,11 @@
         line.trim().strip_suffix(" kB").unwrap().parse::<u64>().unwrap() * 1_024
     }
 
+    /// Number of open descriptors of the process.
+    pub fn descriptor_count(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// Stops the process with SIGSTOP. Data that arrives for it stays in the kernel's buffers.
     pub fn pause(&self) {
         self.signal("-STOP");
--- a/crates/hollymux/tests/handover.rs
+++ b/crates/hollymux/tests/handover.rs
@@ -39,8 +39,12 @@
     }
 
     fn start_with(&self, feed: &StubFeed) -> RouterProcess {
+        self.start_with_config(&config(feed.addr))
+    }
+
+    fn start_with_config(&self, config: &str) -> RouterProcess {
         let listen = format!("\"listen\":\"{}\"", self.addr);
-        let config = config(feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen);
+        let config = config.replace("\"listen\":\"127.0.0.1:0\"", &listen);
         let start = Instant::now();
         let router = RouterProcess::with_handover_dir(&with_admin_endpoint(&config), &self.dir);
         wait_until("the router to be ready", || is_ready(&router).then_some(()));
@@ -259,6 +263,43 @@
     assert_eq!(admin_call(admin_address(&old), "GET /status").1, "replaced\n");
 }
 
+/// Guards against a successor that admits half as many clients as there may be while its predecessor
+/// lives: the others waited unread.
+#[test]
+fn a_successor_admits_all_clients_that_its_predecessor_leaves_room_for() {
+    const DESCRIPTORS: usize = 256;
+    let setup = Setup::new(StubBehavior::NoResponse);
+    let roomy = |line: String| line.replace("\"capacity_hint\":4", "\"capacity_hint\":400");
+    let lines: Vec<String> = endpoint_lines(&setup.endpoints).into_iter().map(roomy).collect();
+    setup.feed.publish_endpoints(true, &lines);
+    let config = config(setup.feed.addr).replace("\"sockets\":1024", &format!("\"sockets\":{DESCRIPTORS}"));
+    let old = setup.start_with_config(&config);
+    let connect = || {
+        let mut client = Client::connect(setup.addr);
+        client.send_request(1, "docs", next_request_id(), ",obj=0000000000000009");
+        client
+    };
+    let mut old_clients: Vec<Client> = (0..20).map(|_| connect()).collect();
+    wait_until("the requests at the old process", || {
+        let metrics = admin_call(admin_address(&old), "GET /status/metrics").1;
+        metrics.contains("open_requests=20").then_some(())
+    });
+    let new = setup.start_with_config(&config);
+    // A third of the descriptors is for clients. All of these have a request open and stay.
+    let connected = Instant::now();
+    let mut new_clients: Vec<Client> = (0..DESCRIPTORS / 3 - 20).map(|_| connect()).collect();
+    for client in &mut new_clients {
+        client.send(&resp_array(&[b"PING", b"2"]));
+        assert_eq!(client.read_response(), "2 fit");
+    }
+    assert!(connected.elapsed() < Duration::from_secs(1), "read after {:?}", connected.elapsed());
+    let used = old.descriptor_count() + new.descriptor_count();
+    assert!(used <= DESCRIPTORS, "{used} descriptors in both processes");
+    for client in old_clients.iter_mut().chain(&mut new_clients) {
+        assert!(client.read_response().starts_with("1 "), "a request without a reply");
+    }
+}
+
 /// Guards against a successor that doesn't know of a drain, because its feed is silent.
 #[test]
 fn a_drain_is_handed_over_while_the_feed_is_silent() {
--- a/crates/hollymux/tests/handover_bytes.rs
+++ b/crates/hollymux/tests/handover_bytes.rs
@@ -43,6 +43,13 @@
     frame(HELLO, &[&[text.len() as u8], text.as_bytes()].concat())
 }
 
+/// The request of this program for a handover, which says that it reads what the predecessor keeps of
+/// the shared limits.
+fn hello_of_this_program(addr: SocketAddr) -> Vec<u8> {
+    let text = addr.to_string();
+    frame(HELLO, &[&[text.len() as u8], text.as_bytes(), &[1]].concat())
+}
+
 /// Splits off the first frame, and returns its kind and all its bytes; `None` if it is incomplete.
 fn split_first_frame(bytes: &[u8]) -> Option<(u8, &[u8])> {
     let header = bytes.get(..HEADER_LENGTH)?;
@@ -452,7 +459,7 @@
 fn hand_over(handover_socket: &UnixListener, listener: &TcpListener) -> UnixStream {
     let (mut socket, _) = handover_socket.accept().unwrap();
     socket.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-    expect_bytes(&mut socket, &hello(listener.local_addr().unwrap()));
+    expect_bytes(&mut socket, &hello_of_this_program(listener.local_addr().unwrap()));
     let frames = split_frames(&std::fs::read(fixture()).unwrap());
     assert_eq!(frames[0].0, LEGACY);
     send_with(&socket, &frames[0].1, listener);
--- a/crates/protocol/src/handover.rs
+++ b/crates/protocol/src/handover.rs
@@ -10,7 +10,7 @@
 
 use hollymux_router::handover_state::{HandoverState, PendingWrite};
 use serde::de::DeserializeOwned;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Version of the body format. Of a message with another version, only the kind is decoded and the
 /// body is ignored.
@@ -30,15 +30,21 @@
     pub(super) const PENDING_WRITES: u8 = 5;
     pub(super) const DECLINED: u8 = 6;
     pub(super) const CLUSTER_INCARNATION: u8 = 7;
+    pub(super) const RESOURCES: u8 = 8;
 }
 
 /// A handover message. The predecessor is the process that serves clients; the successor is the
 /// process that replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HandoverMessage {
-    /// The successor requests the handover of the listener that accepts clients at this address.
-    /// The address is empty if the message has another version.
-    Hello(String),
+    /// The successor requests the handover of the listener that accepts clients at an address.
+    Hello {
+        /// The address; empty if the message has another version.
+        address: String,
+        /// Whether the successor wants to be told of the resources that the predecessor uses. False if
+        /// the message has another version, or comes from a build that does not say so.
+        accepts_resources: bool,
+    },
     /// The predecessor sends its state, together with the listening socket.
     State {
         /// The state; `None` if the message has another version.
@@ -60,6 +66,10 @@
     PendingWrites(Vec<PendingWrite>),
     /// The predecessor refuses the handover because it cannot hand over now.
     Declined,
+    /// The predecessor keeps these resources of those that both processes share; the successor may use
+    /// the others. The predecessor sends it only to a successor that accepts it, and never takes back
+    /// what it has left. `None` if the message has another version.
+    Resources(Option<ResourceUse>),
     /// The predecessor has stopped gossiping, and the successor continues as the same member of the
     /// cluster. Both numbers are 0 if the message has another version.
     ClusterIncarnation {
@@ -70,6 +80,55 @@
     },
 }
 
+/// The part of the shared resources that the predecessor keeps, with what a predecessor of its own
+/// keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResourceUse {
+    /// Number of descriptors.
+    pub descriptors: u32,
+    /// Number of buffers.
+    pub buffers: u32,
+}
+
+impl ResourceUse {
+    /// Half of these resources.
+    pub fn half(self) -> ResourceUse {
+        ResourceUse { descriptors: self.descriptors / 2, buffers: self.buffers / 2 }
+    }
+
+    /// What is left of these resources without others.
+    pub fn without(self, others: ResourceUse) -> ResourceUse {
+        ResourceUse {
+            descriptors: self.descriptors.saturating_sub(others.descriptors),
+            buffers: self.buffers.saturating_sub(others.buffers),
+        }
+    }
+
+    /// These resources and others.
+    pub fn with(self, others: ResourceUse) -> ResourceUse {
+        ResourceUse {
+            descriptors: self.descriptors.saturating_add(others.descriptors),
+            buffers: self.buffers.saturating_add(others.buffers),
+        }
+    }
+
+    /// The higher number of each resource.
+    pub fn at_least(self, others: ResourceUse) -> ResourceUse {
+        ResourceUse {
+            descriptors: self.descriptors.max(others.descriptors),
+            buffers: self.buffers.max(others.buffers),
+        }
+    }
+
+    /// The lower number of each resource.
+    pub fn at_most(self, others: ResourceUse) -> ResourceUse {
+        ResourceUse {
+            descriptors: self.descriptors.min(others.descriptors),
+            buffers: self.buffers.min(others.buffers),
+        }
+    }
+}
+
 /// Error for bytes that are not a handover message. It is fatal for the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("malformed handover message")]
@@ -79,7 +138,13 @@
     /// Encodes the message as a frame.
     pub fn encode(&self) -> Vec<u8> {
         match self {
-            HandoverMessage::Hello(address) => encode_frame(kind::HELLO, address),
+            // A receiver that does not know of what follows the address ignores it.
+            HandoverMessage::Hello { address, accepts_resources: false } => {
+                encode_frame(kind::HELLO, address)
+            }
+            HandoverMessage::Hello { address, accepts_resources } => {
+                encode_frame(kind::HELLO, &(address, accepts_resources))
+            }
             HandoverMessage::State { state, feed_position: None, .. } => encode_frame(kind::STATE, state),
             // A receiver that does not know of what follows the state, or the position, ignores it.
             HandoverMessage::State {
@@ -94,6 +159,7 @@
             HandoverMessage::Released => encode_frame(kind::RELEASED, &()),
             HandoverMessage::PendingWrites(writes) => encode_frame(kind::PENDING_WRITES, writes),
             HandoverMessage::Declined => encode_frame(kind::DECLINED, &()),
+            HandoverMessage::Resources(resources) => encode_frame(kind::RESOURCES, resources),
             HandoverMessage::ClusterIncarnation { start, incarnation } => {
                 encode_frame(kind::CLUSTER_INCARNATION, &(start, incarnation))
             }
@@ -103,12 +169,13 @@
     /// Decodes a message from the fields of its frame. An unknown kind is an error in any version.
     fn decode(version: u8, kind: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
         match kind {
-            kind::HELLO => Ok(HandoverMessage::Hello(decode_body(version, body)?)),
+            kind::HELLO => decode_hello(version, body),
             kind::STATE => decode_state(version, body),
             kind::TAKE_OVER => Ok(HandoverMessage::TakeOver),
             kind::RELEASED => Ok(HandoverMessage::Released),
             kind::PENDING_WRITES => Ok(HandoverMessage::PendingWrites(decode_body(version, body)?)),
             kind::DECLINED => Ok(HandoverMessage::Declined),
+            kind::RESOURCES => Ok(HandoverMessage::Resources(decode_body(version, body)?)),
             kind::CLUSTER_INCARNATION => {
                 let (start, incarnation) = decode_body(version, body)?;
                 Ok(HandoverMessage::ClusterIncarnation { start, incarnation })
@@ -131,6 +198,15 @@
     frame
 }
 
+fn decode_hello(version: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
+    if version != VERSION {
+        return Ok(HandoverMessage::Hello { address: String::new(), accepts_resources: false });
+    }
+    let (address, rest) = postcard::take_from_bytes(body).map_err(|_| MalformedMessage)?;
+    let (accepts_resources, _) = take_optional(rest)?;
+    Ok(HandoverMessage::Hello { address, accepts_resources: accepts_resources.unwrap_or(false) })
+}
+
 fn decode_state(version: u8, body: &[u8]) -> Result<HandoverMessage, MalformedMessage> {
     if version != VERSION {
         return Ok(HandoverMessage::State {
--- a/crates/protocol/tests/handover.rs
+++ b/crates/protocol/tests/handover.rs
@@ -2,7 +2,7 @@
 //! limits.
 
 use hollymux_decision::Timestamp;
-use hollymux_protocol::handover::{HandoverMessage, HandoverReader, MalformedMessage, VERSION};
+use hollymux_protocol::handover::{HandoverMessage, HandoverReader, MalformedMessage, ResourceUse, VERSION};
 use hollymux_router::handover_state::{EndpointRecord, HandoverState, PendingWrite};
 use proptest::prelude::*;
 
@@ -31,7 +31,7 @@
         ..HandoverState::default()
     };
     vec![
-        HandoverMessage::Hello("127.0.0.1:5050".into()),
+        HandoverMessage::Hello { address: "127.0.0.1:5050".into(), accepts_resources: false },
         HandoverMessage::State {
             state: Some(Box::new(state.clone())),
             feed_position: Some(300),
@@ -55,6 +55,8 @@
             endpoint: None,
         }]),
         HandoverMessage::Declined,
+        HandoverMessage::Hello { address: "127.0.0.1:5050".into(), accepts_resources: true },
+        HandoverMessage::Resources(Some(ResourceUse { descriptors: 90, buffers: 300 })),
     ]
 }
 
--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -136,6 +136,11 @@
         state.free.truncate(max_free);
     }
 
+    /// Number of buffers in use.
+    pub fn in_use(&self) -> usize {
+        self.0.borrow().in_use
+    }
+
     /// The limit of the pool in bytes.
     pub fn limit_bytes(&self) -> usize {
         self.0.borrow().limit * BUFFER_BYTES
--- a/crates/server/src/clients/accept.rs
+++ b/crates/server/src/clients/accept.rs
@@ -99,8 +99,12 @@
 
     /// Maximum number of descriptors for client connections: those left by the endpoints and the
     /// reserved ones, and at least a third of all. Well-behaved clients need at most a third; the
-    /// rest is room for clients that only occupy descriptors.
+    /// rest is room for clients that only occupy descriptors. A process that was replaced admits none
+    /// beyond those that it has.
     pub(crate) fn max_client_connections(&self) -> usize {
+        if self.keeps_only_its_connections() {
+            return self.client_count;
+        }
         let descriptors = self.max_descriptors();
         let left = descriptors - self.max_endpoint_connections();
         left.saturating_sub(RESERVED_DESCRIPTORS).max(descriptors / 3)
--- a/crates/server/src/endpoints/mod.rs
+++ b/crates/server/src/endpoints/mod.rs
@@ -71,13 +71,29 @@
     }
 
     /// Maximum number of descriptors used for connections to endpoints: half of this process's
-    /// descriptors, or two thirds of them less [`RESERVED_DESCRIPTORS`] if that is fewer.
+    /// descriptors, or two thirds of them less [`RESERVED_DESCRIPTORS`] if that is fewer. A process
+    /// that was replaced uses what its clients leave.
     pub(crate) fn max_endpoint_connections(&self) -> usize {
         let descriptors = self.max_descriptors();
+        if self.keeps_only_its_connections() {
+            return descriptors.saturating_sub(RESERVED_DESCRIPTORS + self.client_count);
+        }
         let two_thirds = descriptors - descriptors / 3;
         two_thirds.saturating_sub(RESERVED_DESCRIPTORS).min(descriptors / 2)
     }
 
+    /// Closes the established connections without requests, but for this many.
+    pub(crate) fn close_unused_endpoint_connections(&mut self, spare: usize) {
+        let is_unused = |connection: &ConnectionKind| match connection {
+            ConnectionKind::Endpoint(endpoint) => endpoint.is_established() && endpoint.is_unused(),
+            _ => false,
+        };
+        let unused = self.connections.iter().filter(|(_, connection)| is_unused(connection)).count();
+        for _ in spare..unused {
+            self.evict_endpoint_connection();
+        }
+    }
+
     /// Closes the established connection that has been unused longest, to free a descriptor for a
     /// connection to another endpoint. Returns false if every connection is in use.
     fn evict_endpoint_connection(&mut self) -> bool {
--- a/crates/server/src/event_loop/io.rs
+++ b/crates/server/src/event_loop/io.rs
@@ -95,6 +95,7 @@
             ConnectionKind::Client(_) => {
                 self.client_count -= 1;
                 self.withdraw_all(token);
+                self.leave_resources();
             }
             ConnectionKind::Endpoint(endpoint) => self.endpoint_connection_closed(token, endpoint),
             ConnectionKind::Feed(_) => self.feed_closed(token),
--- a/crates/server/src/handover/call_predecessor.rs
+++ b/crates/server/src/handover/call_predecessor.rs
@@ -90,7 +90,7 @@
     let deadline = Instant::now() + STATE_TIMEOUT;
     socket.set_nonblocking(false).map_err(io_error("set up the connection to"))?;
     socket.set_write_timeout(Some(STATE_TIMEOUT)).map_err(io_error("set up the connection to"))?;
-    let hello = HandoverMessage::Hello(listen.to_string()).encode();
+    let hello = HandoverMessage::Hello { address: listen.to_string(), accepts_resources: true }.encode();
     socket.write_all(&hello).map_err(io_error("write to"))?;
     receive_state(socket, listen, deadline).map(Some)
 }
--- a/crates/server/src/handover/mod.rs
+++ b/crates/server/src/handover/mod.rs
@@ -9,20 +9,17 @@
 mod call_predecessor;
 mod peer;
 mod serve_successor;
+mod shared_limits;
 mod take_over;
 
 use crate::event_loop::ConnectionToken;
-use crate::server::max_buffers;
-use crate::Server;
 pub(crate) use call_predecessor::{call_predecessor, InheritedSockets};
 use hollymux_router::handover_state::HandoverState;
 pub(crate) use peer::HandoverPeer;
+use shared_limits::SharedLimits;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Number of processes that share the limits of descriptors and buffers during a handover.
-const PROCESSES_IN_HANDOVER: usize = 2;
-
 /// The connections and the inherited state of a handover.
 #[derive(Default)]
 pub(crate) struct Handover {
@@ -41,6 +38,7 @@
     /// Whether this process shares its limits of descriptors and buffers with a successor or
     /// predecessor.
     pub(crate) limits_shared: bool,
+    shared_limits: SharedLimits,
 }
 
 /// The path of the Unix socket for handovers between processes that serve the same address; `None`
@@ -53,24 +51,3 @@
     let file_name = format!("hollymux-{}-{}.sock", listen.ip(), listen.port());
     Some(PathBuf::from(directory).join(file_name))
 }
-
-impl Server {
-    /// Applies the limits for one process, or for two while a successor or predecessor runs as
-    /// well.
-    fn update_shared_limits(&mut self) {
-        let shared = self.handover.successor.is_some() || self.handover.predecessor.is_some();
-        self.handover.limits_shared = shared;
-        self.router.set_additional_routers(shared);
-        let processes = if shared { PROCESSES_IN_HANDOVER } else { 1 };
-        self.buffers.set_max_buffers(max_buffers(&self.config) / processes);
-    }
-
-    /// Maximum number of descriptors that this process may use; half as many during a handover.
-    pub(crate) fn max_descriptors(&self) -> usize {
-        if self.handover.limits_shared {
-            self.config.max_descriptors / PROCESSES_IN_HANDOVER
-        } else {
-            self.config.max_descriptors
-        }
-    }
-}
--- a/crates/server/src/handover/serve_successor.rs
+++ b/crates/server/src/handover/serve_successor.rs
@@ -80,8 +80,12 @@
         message: HandoverMessage,
     ) -> Result<(), OutOfOrder> {
         match (message, peer.progress) {
-            (HandoverMessage::Hello(_), HandoverProgress::Connected) => {
+            (HandoverMessage::Hello { accepts_resources, .. }, HandoverProgress::Connected) => {
                 self.send_state(peer);
+                if accepts_resources {
+                    let message = self.begin_sharing();
+                    peer.send(&message);
+                }
                 Ok(())
             }
             (HandoverMessage::TakeOver, HandoverProgress::StateSent | HandoverProgress::TakeOverSent) => {
@@ -122,6 +126,9 @@
         if let Some(ClusterIncarnation { generation, incarnation }) = self.release_cluster_socket() {
             peer.send(&HandoverMessage::ClusterIncarnation { start: generation, incarnation });
         }
+        if let Some(message) = self.give_up_resources() {
+            peer.send(&message);
+        }
         peer.send(&HandoverMessage::Released);
     }
 
--- a/crates/server/src/handover/take_over.rs
+++ b/crates/server/src/handover/take_over.rs
@@ -88,6 +88,11 @@
             HandoverMessage::ClusterIncarnation { start: generation, incarnation } => {
                 self.take_over_cluster_socket(&ClusterIncarnation { generation, incarnation });
             }
+            HandoverMessage::Resources(kept) => {
+                if let Some(kept) = kept {
+                    self.on_predecessor_resources(kept);
+                }
+            }
             HandoverMessage::Released => self.begin_serving(),
             _ => return Err(OutOfOrder),
         }
--- a/crates/server/src/housekeeping.rs
+++ b/crates/server/src/housekeeping.rs
@@ -19,6 +19,7 @@
         if self.handover.predecessor.is_none() && !self.lifecycle.is_replaced() {
             self.open_cluster_socket();
         }
+        self.leave_resources();
         // The two processes of a handover share the descriptor limit, so connections above it are
         // evicted.
         let shares_limits = self.handover.limits_shared;
--- a/crates/server/src/shutdown.rs
+++ b/crates/server/src/shutdown.rs
@@ -51,7 +51,10 @@
     /// Closes connections without open requests, and after the linger time the client listener too.
     pub(crate) fn on_drain_timer(&mut self) {
         if self.lifecycle.has_lingered(self.now) {
-            self.accept_last();
+            // Who waits at a listener that was handed over is the successor's client.
+            if !self.lifecycle.is_replaced() {
+                self.accept_last();
+            }
             self.close(self.client_listener);
         }
         self.run_housekeeping();
