Open the DNS front of a new process when its predecessor has left the address

Cause: open_dns bound the address at the start, while the predecessor held it.

Change: with a predecessor the sockets for queries are opened when the process begins to serve, and tried again by housekeeping; the old process closes its own when it hands over, and opens them again if its successor dies.

--- a/crates/hollymux/tests/dns.rs
+++ b/crates/hollymux/tests/dns.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use common::reserved_address::ReservedAddress;
 use common::*;
 use std::fmt::Write as _;
 use std::io::{Read, Write};
@@ -599,3 +600,49 @@
         ids.len()
     );
 }
+
+/// Guards against a new process that exits, as its predecessor still owns the address for queries, so
+/// that nobody answers them once the predecessor has ended.
+#[test]
+fn a_process_with_a_dns_front_is_replaced() {
+    let feed = StubFeed::start();
+    let endpoints: Vec<StubEndpoint> =
+        (0..3).map(|_| StubEndpoint::start(StubBehavior::Data(b"bytes".to_vec()))).collect();
+    feed.publish_endpoints(true, &lines(&endpoints, ["s-a", "s-b"]));
+    let reserved = ReservedAddress::new();
+    let listen = format!("\"listen\":\"{}\"", reserved.addr);
+    let config = with_admin_endpoint(&config(feed.addr).replace("\"listen\":\"127.0.0.1:0\"", &listen));
+    let dir = temp_file("nothing", "").parent().unwrap().to_path_buf();
+    let start = |dns: &str| {
+        let section = format!("{{dns: {{listen: '{dns}', zone: '{ZONE}'}}}}");
+        let router = RouterProcess::with_operator_file_and_handover_dir(&config, &section, &dir);
+        wait_until("the router to be ready", || {
+            (admin_call(admin_address(&router), "GET /status").0 == 200).then_some(())
+        });
+        router
+    };
+    let mut old = start("127.0.0.1:0");
+    let dns = old.dns.unwrap();
+    // A client repeats a query that gets no answer.
+    let answer = || {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        wait_until("an answer", || {
+            socket.send_to(&query(7, 0, DOCS, A, None), dns).unwrap();
+            let mut buffer = [0; 4096];
+            let length = socket.recv(&mut buffer).ok()?;
+            Some(decode(&buffer[..length])).filter(|answer| answer[0] == "NOERROR")
+        })
+    };
+    answer();
+    let mut new = start(&dns.to_string());
+    let asked = Instant::now();
+    answer();
+    assert!(asked.elapsed() < Duration::from_secs(1), "answered after {:?}", asked.elapsed());
+    old.signal("-TERM");
+    assert!(old.wait_for_exit().0.success());
+    answer();
+    assert!(new.child.try_wait().unwrap().is_none(), "the new process has exited");
+    assert!(TcpStream::connect(dns).is_ok());
+    let _removed = std::fs::remove_dir_all(&dir);
+}
--- a/crates/server/src/dns/front.rs
+++ b/crates/server/src/dns/front.rs
@@ -7,12 +7,13 @@
 use hollymux_protocol::dns::{self, MessageFramer, Query, Rcode, Response, Transport};
 use hollymux_protocol::dns_routing::{self, NameKind};
 use hollymux_router::buffers::BufferChain;
+use hollymux_router::lifecycle::Phase;
 use hollymux_router::{LookupResult, RequestedObject};
 use rustix::event::epoll::EventFlags;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::Duration;
-use tracing::info;
+use tracing::{debug, info};
 
 /// Maximum number of ports that are tried if the system assigns the port.
 const MAX_BIND_ATTEMPTS: u32 = 32;
@@ -56,23 +57,53 @@
 
 impl Server {
     /// Opens the sockets that the section `dns` of the operator's file configures: for answering
-    /// queries, for following another router's answers, or both.
+    /// queries, for following another router's answers, or both. While a predecessor still answers the
+    /// queries, their sockets are opened later, by [`Server::take_over_dns`].
     pub(crate) fn open_dns(&mut self) -> io::Result<()> {
         let Some(section) = self.operator.dns.clone() else { return Ok(()) };
-        if let Some(listen) = section.listen {
-            let DnsSockets { udp, tcp } = bind_udp_and_tcp(listen)?;
-            udp.set_nonblocking(true)?;
-            tcp.set_nonblocking(true)?;
-            info!(address = %udp.local_addr()?, zone = %section.zone, "DNS front listening");
-            self.insert(ConnectionKind::DnsUdp(udp))?;
-            self.insert(ConnectionKind::DnsListener(tcp))?;
-        }
         if let Some(server) = section.follow {
             self.open_resolver(server)?;
         }
+        if self.handover.predecessor.is_some() {
+            return Ok(());
+        }
+        self.open_dns_front()
+    }
+
+    /// Opens the sockets for queries, if they are configured and not open.
+    fn open_dns_front(&mut self) -> io::Result<()> {
+        let Some(section) = self.operator.dns.clone() else { return Ok(()) };
+        let Some(listen) = section.listen.filter(|_| self.dns_sockets.is_empty()) else { return Ok(()) };
+        let DnsSockets { udp, tcp } = bind_udp_and_tcp(listen)?;
+        udp.set_nonblocking(true)?;
+        tcp.set_nonblocking(true)?;
+        info!(address = %udp.local_addr()?, zone = %section.zone, "DNS front listening");
+        let udp = self.insert(ConnectionKind::DnsUdp(udp))?;
+        self.dns_sockets.push(udp);
+        let tcp = self.insert(ConnectionKind::DnsListener(tcp))?;
+        self.dns_sockets.push(tcp);
         Ok(())
     }
 
+    /// Answers queries from now on, if no other process does. Tried again by housekeeping until the
+    /// other process has left the address.
+    pub(crate) fn take_over_dns(&mut self) {
+        let serves = matches!(self.lifecycle.phase(), Phase::Ready | Phase::Standby);
+        if !serves {
+            return;
+        }
+        if let Err(error) = self.open_dns_front() {
+            debug!(%error, "DNS front can't listen yet");
+        }
+    }
+
+    /// Leaves the address for queries to the successor.
+    pub(crate) fn leave_dns(&mut self) {
+        for token in std::mem::take(&mut self.dns_sockets) {
+            self.close(token);
+        }
+    }
+
     /// Answers the queries that have arrived over UDP.
     pub(crate) fn on_dns_udp(&mut self, socket: &mut UdpSocket) -> ConnectionAction {
         let mut buffer = [0; dns::MAX_QUERY_BYTES];
--- a/crates/server/src/handover/serve_successor.rs
+++ b/crates/server/src/handover/serve_successor.rs
@@ -121,6 +121,7 @@
     fn hand_over(&mut self, peer: &mut HandoverPeer) {
         peer.progress = HandoverProgress::TakeOverSent;
         self.apply_lifecycle_event(Event::Replaced);
+        self.leave_dns();
         let pending_writes = self.router.take_new_pending_writes(PeerProcess::Successor);
         peer.send(&HandoverMessage::PendingWrites(pending_writes));
         if let Some(ClusterIncarnation { generation, incarnation }) = self.release_cluster_socket() {
@@ -143,6 +144,7 @@
         if let Some(token) = self.handover.rendezvous.take() {
             self.close(token);
         }
+        self.take_over_dns();
         if self.lifecycle.accepts_connections(self.now) {
             self.open_rendezvous_socket();
         }
--- a/crates/server/src/handover/take_over.rs
+++ b/crates/server/src/handover/take_over.rs
@@ -146,6 +146,7 @@
             self.router.restore(self.now, &state);
         }
         self.apply_lifecycle_event(Event::Started);
+        self.take_over_dns();
         self.open_rendezvous_socket();
     }
 }
--- a/crates/server/src/housekeeping.rs
+++ b/crates/server/src/housekeeping.rs
@@ -16,6 +16,7 @@
     pub(crate) fn on_housekeeping_timer(&mut self) {
         self.timers.set(self.now + HOUSEKEEPING_INTERVAL, Timer::Housekeeping);
         self.open_admin_listener();
+        self.take_over_dns();
         if self.handover.predecessor.is_none() && !self.lifecycle.is_replaced() {
             self.open_cluster_socket();
         }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -73,6 +73,8 @@
     pub(crate) recorder: Option<Recorder>,
     /// The zone for DNS-based routing; empty if that is off.
     pub(crate) dns_zone: Name,
+    /// The sockets for DNS queries; empty if they are off, or another process answers the queries.
+    pub(crate) dns_sockets: Vec<ConnectionToken>,
     pub(crate) resolver: Resolver,
     pub(crate) feed: EndpointFeed,
     pub(crate) lifecycle: Lifecycle,
@@ -144,6 +146,7 @@
             client_count: 0,
             busy_clients: VecDeque::new(),
             endpoints: EndpointConnections::default(),
+            dns_sockets: Vec::new(),
             resolver: Resolver::new(config.seed),
             dns_zone: operator.dns.as_ref().map(|dns| dns.name()).unwrap_or_default(),
             recorder,
