Write the replies to commands that have malformed bytes behind them at once

Cause: since replies are written after a read, and only if the connection stays open. Behind a malformed command it is shut down; what was to be written before waited for about a second.

Found by reading the change. The replies to commands that were closed with the connection (a flood) are not written, as before.

Change: the output is written unless the connection is closed at once.

Measured: the new test fails without the change (closed after 1.0 s) and passes now in 0.01 s.

--- a/crates/hollymux/tests/races.rs
+++ b/crates/hollymux/tests/races.rs
@@ -242,6 +242,21 @@
     assert_clean_shutdown(router);
 }
 
+/// Guards against holding back the replies to commands that arrive with malformed bytes behind them.
+#[test]
+fn commands_before_malformed_bytes_get_their_replies() {
+    let (_feed, router, _client, _manual) = setup();
+    let mut client = Client::connect(router.addr);
+    let ping = resp_array(&[b"PING", b"1"]);
+    let unsound = resp_array(&[b"DO", b"2", b"docs", b"obj=seven", b""]);
+    let sent = Instant::now();
+    client.send(&[&ping[..], &unsound, b"malformed"].concat());
+    assert_eq!(client.read_response(), "1 fit");
+    assert_eq!(client.read_response(), "2 broken");
+    assert_eq!(client.read_response(), "end");
+    assert!(sent.elapsed() < Duration::from_millis(500), "closed after {:?}", sent.elapsed());
+}
+
 /// Guards against losing a non-idempotent request on a connection that its endpoint had closed
 /// before the request was written.
 #[test]
--- a/crates/server/src/clients/input.rs
+++ b/crates/server/src/clients/input.rs
@@ -169,8 +169,11 @@
         buffer.resize(BUFFER_BYTES, 0);
         let mut action = self.read_commands(token, connection, limit, &mut buffer);
         self.read_buffer = buffer;
-        if action == ConnectionAction::Keep && !connection.output.is_empty() {
-            action = self.flush(token, &mut connection.stream, &mut connection.output);
+        if action != ConnectionAction::Close && !connection.output.is_empty() {
+            let written = self.flush(token, &mut connection.stream, &mut connection.output);
+            if written == ConnectionAction::Close {
+                action = written;
+            }
         }
         // Elsewhere, a connection is released after a reply of the router, but rejections are
         // written without one. A client that keeps sending would then be released only if
