Shut a closing connection down whoever writes the last of its output

Cause: a connection that is closing is shut down behind its output, which was done where epoll reports room.

Change: one function writes a client's output and shuts the connection down behind it; all four places use it.

Measured: the new test fails without the change (no end within 1 s) and passes now.

--- a/crates/server/src/clients/connection.rs
+++ b/crates/server/src/clients/connection.rs
@@ -233,7 +233,7 @@
         // The kernel reports room only when a third of its buffer is free, which takes a slow reader
         // longer than the timeout; it takes bytes before that.
         if connection.stream.waiting_to_write {
-            let action = self.flush(token, &mut connection.stream, &mut connection.output);
+            let action = self.flush_client(token, connection);
             if action == ConnectionAction::Close {
                 return ConnectionAction::Close;
             }
--- a/crates/server/src/clients/input.rs
+++ b/crates/server/src/clients/input.rs
@@ -115,13 +115,10 @@
         flags: EventFlags,
     ) -> ConnectionAction {
         if flags.contains(EventFlags::OUT) {
-            let action = self.flush(token, &mut connection.stream, &mut connection.output);
+            let action = self.flush_client(token, connection);
             if action == ConnectionAction::Close {
                 return ConnectionAction::Close;
             }
-            if connection.is_closing() {
-                connection.shutdown_write(self.now);
-            }
         }
         // Nothing is owed to a client that has closed its side, whatever it sent before.
         if flags.contains(EventFlags::RDHUP) {
@@ -170,7 +167,7 @@
         let mut action = self.read_commands(token, connection, limit, &mut buffer);
         self.read_buffer = buffer;
         if action != ConnectionAction::Close && !connection.output.is_empty() {
-            let written = self.flush(token, &mut connection.stream, &mut connection.output);
+            let written = self.flush_client(token, connection);
             if written == ConnectionAction::Close {
                 action = written;
             }
--- a/crates/server/src/clients/responses.rs
+++ b/crates/server/src/clients/responses.rs
@@ -1,5 +1,6 @@
 //! Encoding the router's replies and writing them to clients.
 
+use super::connection::ClientConnection;
 use crate::event_loop::{ConnectionAction, ConnectionKind, ConnectionToken};
 use crate::Server;
 use hollymux_decision::RequestId;
@@ -34,6 +35,20 @@
         }
     }
 
+    /// Writes as much of a connection's output as the kernel accepts. Behind the last of it, a connection
+    /// that is closing is shut down.
+    pub(super) fn flush_client(
+        &mut self,
+        token: ConnectionToken,
+        connection: &mut ClientConnection,
+    ) -> ConnectionAction {
+        let action = self.flush(token, &mut connection.stream, &mut connection.output);
+        if action == ConnectionAction::Keep && connection.is_closing() {
+            connection.shutdown_write(self.now);
+        }
+        action
+    }
+
     /// Writes a final reply to its client. Drops it if the connection is closed.
     pub(crate) fn reply_to_client(&mut self, client: ClientHandle, reply: Reply) {
         let token = ConnectionToken::from_u64(client.conn);
@@ -45,7 +60,7 @@
         connection.last_used = self.now;
         connection.wasted_requests = 0;
         client::encode_reply(&mut connection.output, client.tag, reply);
-        let action = self.flush(token, &mut connection.stream, &mut connection.output);
+        let action = self.flush_client(token, &mut connection);
         self.release_if_idle(token, &mut connection);
         self.restore(token, ConnectionKind::Client(connection), action);
     }
--- a/crates/server/src/clients/tests.rs
+++ b/crates/server/src/clients/tests.rs
@@ -77,6 +77,22 @@
     assert!(server.client_housekeeping(token, &mut connection) == ConnectionAction::Close);
 }
 
+/// Guards against a connection that is closing and is never shut down, as housekeeping has written the
+/// last of its output.
+#[test]
+fn a_closing_connection_is_shut_down_behind_its_output_whoever_writes_it() {
+    let mut server = server();
+    let (token, mut peer) = add_client(&mut server, 1_000);
+    let mut connection = server.connections.take_client(token).unwrap();
+    connection.stream.waiting_to_write = true;
+    connection.shutdown_write(server.now);
+    assert!(server.client_housekeeping(token, &mut connection) == ConnectionAction::Keep);
+    let mut read = Vec::new();
+    peer.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    peer.read_to_end(&mut read).expect("the end of the connection");
+    assert_eq!(read.len(), 1_000);
+}
+
 /// Guards against closing clients because of messages that endpoints don't read.
 #[test]
 fn messages_that_endpoints_do_not_read_close_no_client() {
