--- a/crates/server/src/handover/shared_limits.rs
+++ b/crates/server/src/handover/shared_limits.rs
@@ -83,9 +83,8 @@
         self.resume_listeners();
     }
 
-    /// Begins to tell the successor what this process keeps: what it uses, and half before it has
-    /// handed its clients over.
-    /// Returns the message about it.
+    /// Begins to tell the successor what this process keeps: what it uses, and at least half before it
+    /// has handed its clients over. Returns the message about it.
     pub(super) fn begin_sharing(&mut self) -> HandoverMessage {
         let keeps = self.limits_beside_predecessor().half().at_least(self.resources_in_use());
         self.handover.shared_limits.own_keeps = Some(keeps);
