Wait for a client that doesn't read no longer than the slowest one needs

Cause: since a connection is not closed while the kernel holds bytes for it that it can't send. A client that reads nothing so kept its descriptor for good: it was neither evicted nor closed as idle. Found by reading the change.

Change: a client has 4.3 s from the last byte that the kernel took, the time of the largest send buffer at 1 MB a second. Besides, a poll that says nothing of the peer's close is not taken for one, and a client is registered without the report of the close where that is refused.

--- a/crates/server/src/clients/tests.rs
+++ b/crates/server/src/clients/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of states that can't be reached from outside without filling the kernel's buffers, whose
 //! size differs between machines: replies that clients don't read.
 
+use super::connection::ClientState;
 use super::ClientConnection;
 use crate::config::operator_file::Operator;
 use crate::config::Config;
@@ -77,6 +78,33 @@
     assert!(server.client_housekeeping(token, &mut connection) == ConnectionAction::Close);
 }
 
+/// Guards against clients that don't read and hold their descriptors: they are idle once the slowest
+/// client would have read its replies.
+#[test]
+fn a_client_that_reads_nothing_is_idle_after_the_time_of_the_slowest_one() {
+    let mut server = server();
+    let (token, _peer) = add_client(&mut server, 1);
+    let mut connection = server.connections.take_client(token).unwrap();
+    let reply = vec![b'x'; 64 << 10];
+    while !connection.stream.waiting_to_write {
+        connection.output.extend_control(&reply);
+        assert!(server.flush_client(token, &mut connection) == ConnectionAction::Keep);
+    }
+    // All that is left is in the kernel, which can't send it.
+    connection.output = server.buffers.chain();
+    connection.stream.waiting_to_write = false;
+    connection.state = ClientState::BetweenMessages;
+    let written = server.now;
+    assert!(
+        connection.close_noticed_from(written + Duration::from_secs(3)) > written + Duration::from_secs(3)
+    );
+    server.connections.restore(token, ConnectionKind::Client(connection));
+    server.now = written + Duration::from_secs(3);
+    assert!(!server.evict_client(), "closed while its client may still read");
+    server.now = written + Duration::from_secs(5);
+    assert!(server.evict_client(), "kept for a client that does not read");
+}
+
 /// Guards against a connection that is closing and is never shut down, as housekeeping has written the
 /// last of its output.
 #[test]
--- a/crates/server/src/event_loop/io.rs
+++ b/crates/server/src/event_loop/io.rs
@@ -6,6 +6,7 @@
 use hollymux_router::buffers::{BufferChain, BUFFER_BYTES};
 use rustix::event::epoll::{self, EventFlags};
 use rustix::fd::AsFd;
+use rustix::io::Errno;
 use std::io::{self, Read, Write};
 
 /// Maximum number of reads of one connection for one event, so that no connection starves the
@@ -52,7 +53,7 @@
 
     /// Registers a connection with epoll and adds it to the table; the connection is closed if that
     /// fails.
-    pub(crate) fn insert(&mut self, connection: ConnectionKind) -> io::Result<ConnectionToken> {
+    pub(crate) fn insert(&mut self, mut connection: ConnectionKind) -> io::Result<ConnectionToken> {
         let token = self.connections.reserve();
         let flags = match &connection {
             // These sockets are still connecting; they become writable when the connect ends.
@@ -61,7 +62,13 @@
             _ => EventFlags::IN,
         };
         let data = epoll::EventData::new_u64(token.as_u64());
-        if let Err(error) = epoll::add(&self.epoll, connection.as_fd(), data, flags) {
+        let mut added = epoll::add(&self.epoll, connection.as_fd(), data, flags);
+        if let (Err(Errno::INVAL), ConnectionKind::Client(client)) = (added, &mut connection) {
+            // Where the close of a peer's side is not reported, it is noticed at the end of the input.
+            client.stream.interest = EventFlags::IN;
+            added = epoll::add(&self.epoll, &client.stream.socket, data, EventFlags::IN);
+        }
+        if let Err(error) = added {
             self.connections.release(token);
             return Err(error.into());
         }
--- a/crates/server/src/read_progress.rs
+++ b/crates/server/src/read_progress.rs
@@ -14,8 +14,13 @@
 /// The most that the peer's kernel holds for it, in bytes: the default receive buffer of Linux.
 const MAX_RECEIVE_QUEUE_BYTES: u64 = 128 << 10;
 
+/// The most that the kernel holds of unsent bytes: the largest send buffer of Linux by default.
+const MAX_SEND_QUEUE_BYTES: u64 = 4 << 20;
+
 /// What is known of a peer's reading.
 pub(crate) struct ReadProgress {
+    /// When bytes were last passed to the kernel.
+    written_at: Cell<Timestamp>,
     /// Whether the kernel may hold written bytes that it has not sent yet, as the peer's receive
     /// buffer was full.
     may_have_unsent: Cell<bool>,
@@ -26,7 +31,11 @@
 impl ReadProgress {
     /// The progress on a connection on which nothing was written yet.
     pub(crate) fn new(now: Timestamp) -> ReadProgress {
-        ReadProgress { may_have_unsent: Cell::new(false), read_by: Cell::new(now) }
+        ReadProgress {
+            written_at: Cell::new(now),
+            may_have_unsent: Cell::new(false),
+            read_by: Cell::new(now),
+        }
     }
 
     /// Records that bytes were passed to the kernel.
@@ -35,13 +44,17 @@
         let latest = now + read_duration(MAX_RECEIVE_QUEUE_BYTES);
         self.read_by.set((begins + read_duration(bytes as u64)).min(latest));
         self.may_have_unsent.set(true);
+        self.written_at.set(now);
     }
 
-    /// The time by which a peer has read what was written, if nothing of it is unsent at `now`.
+    /// The time by which a peer has read what was written, by what is known at `now`. A peer that does
+    /// not read is not waited for beyond the time that the slowest one needs.
     pub(crate) fn read_by(&self, now: Timestamp, socket: &TcpStream) -> Timestamp {
         if self.may_have_unsent.get() {
             if has_unsent_bytes(socket) {
-                self.read_by.set(now + read_duration(MAX_RECEIVE_QUEUE_BYTES));
+                let latest =
+                    self.written_at.get() + read_duration(MAX_SEND_QUEUE_BYTES + MAX_RECEIVE_QUEUE_BYTES);
+                self.read_by.set((now + read_duration(MAX_RECEIVE_QUEUE_BYTES)).min(latest));
             } else {
                 self.may_have_unsent.set(false);
             }
--- a/crates/server/src/sockets.rs
+++ b/crates/server/src/sockets.rs
@@ -99,7 +99,8 @@
     /// Whether the peer is known to have closed its side, however much it sent before is unread.
     pub(crate) fn peer_has_closed(&self) -> bool {
         let mut descriptors = [PollFd::new(&self.socket, PollFlags::RDHUP)];
-        poll(&mut descriptors, Some(&NO_WAIT)).is_ok_and(|ready| ready > 0)
+        let polled = poll(&mut descriptors, Some(&NO_WAIT));
+        polled.is_ok() && descriptors[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP)
     }
 }
 
